A thin whole path: caller, entry instance, endpoint, whole answer

Ruled out: circuits.web alone at the edge (it loses pipelined requests and takes ambiguous lengths), so a guard frames requests with httptools and hands circuits.web one clean request at a time; circuits.web.client for endpoints (one request at a time, no deadline), so streams on the circuits poller with httptools parsing answers.

Change: daemon, HTTP guard, gateway, job model, in-memory ledger, uncoordinated slots, endpoint directory, stand-in executor, first tests.

Before: no product.

Conclusion: the path runs; the ledger is not durable and slots are not coordinated, which come next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+VENV ?= .venv
+PY = $(VENV)/bin/python
+
+.PHONY: run test setup lint check clean
+
+$(VENV)/ready: requirements-lock.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q -r requirements-lock.txt
+	$(VENV)/bin/pip install -q --no-deps -e .
+	touch $@
+
+setup: $(VENV)/ready
+
+run: setup
+	$(PY) -m examples.first_run
+
+lint: setup
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/flake8 chervilwheel loadtool standins examples tests
+
+test: setup lint
+	$(PY) -m pytest -q -rxX
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/chervilwheel/gateway.py
@@ -0,0 +1,226 @@
+"""Turn web requests into exchanges and their replies into responses."""
+
+import json
+import logging
+import typing
+import urllib.parse
+
+import circuits
+from circuits.web import events as web_events
+
+from chervilwheel import auth
+from chervilwheel import errors
+from chervilwheel import jobs
+
+_LOG = logging.getLogger("gateway")
+JSON = "application/json"
+PROBLEM = "application/problem+json"
+TEXT = "text/plain; version=0.0.4"
+
+
+class Exchange:
+    """One request, to be replied to once, now or later.
+
+    :param method: the HTTP method
+    :param path: the decoded path parts
+    :param query: the query, last value of each name
+    :param headers: the request's headers
+    :param body: the whole body
+    :param respond: writes the response
+    """
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        path: tuple[str, ...],
+        query: dict[str, str],
+        headers: typing.Mapping[str, str],
+        body: bytes,
+        respond: typing.Callable[[int, str, bytes, dict[str, str]], None],
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.query = query
+        self.headers = headers
+        self.body = body
+        self.who = auth.Principal(team="", is_operator=False)
+        self.is_replied = False
+        self._respond = respond
+
+    def table(self) -> dict[str, typing.Any]:
+        """Decode the body as a JSON object.
+
+        :raises errors.InvalidRequest: when it is not one
+        """
+        return jobs.parse_body(self.body)
+
+    def number(self, name: str, default: float) -> float:
+        """Read a number from the query.
+
+        :raises errors.InvalidRequest: when it is not a number
+        """
+        text = self.query.get(name)
+        if text is None:
+            return default
+        try:
+            value = float(text)
+        except ValueError as exc:
+            raise errors.InvalidRequest(f"{name}: not a number") from exc
+        if not 0 <= value < 1e15:
+            raise errors.InvalidRequest(f"{name}: out of range")
+        return value
+
+    def reply(
+        self,
+        status: int,
+        table: typing.Any,
+        *,
+        headers: dict[str, str] | None = None,
+        kind: str = JSON,
+    ) -> None:
+        """Reply with JSON; later replies are dropped."""
+        body = json.dumps(table, separators=(",", ":")).encode()
+        self.reply_bytes(status, body, kind=kind, headers=headers)
+
+    def reply_bytes(
+        self,
+        status: int,
+        body: bytes,
+        *,
+        kind: str,
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        """Reply with bytes; later replies are dropped."""
+        if self.is_replied:
+            return
+        self.is_replied = True
+        self._respond(status, kind, body, headers or {})
+
+    def fail(self, exc: errors.ChervilwheelError) -> None:
+        """Reply with problem details (RFC 9457)."""
+        headers = {}
+        table = {
+            "type": f"urn:chervilwheel:{exc.kind}",
+            "title": exc.kind,
+            "status": exc.status,
+            "detail": exc.detail,
+        }
+        if exc.retry_after_s is not None:
+            headers["Retry-After"] = str(max(1, round(exc.retry_after_s)))
+            table["retry_after_ms"] = int(exc.retry_after_s * 1000)
+        self.reply(exc.status, table, headers=headers, kind=PROBLEM)
+
+
+Handler = typing.Callable[[Exchange], None]
+
+
+class Route(typing.NamedTuple):
+    """A handler for a method and a path; ``*`` matches one part."""
+
+    method: str
+    pattern: tuple[str, ...]
+    handler: Handler
+    is_open: bool = False
+
+
+class Router:
+    """Find and run the handler of an exchange.
+
+    :param routes: what is offered
+    :param tokens: who may call
+    """
+
+    def __init__(
+        self, *, routes: typing.Sequence[Route], tokens: auth.TokenBook
+    ) -> None:
+        self._routes = tuple(routes)
+        self._tokens = tokens
+
+    def run(self, exchange: Exchange) -> None:
+        """Run the handler; every error becomes a reply."""
+        try:
+            self._run(exchange)
+        except errors.ChervilwheelError as exc:
+            exchange.fail(exc)
+        except Exception:
+            _LOG.exception("gateway: a handler failed")
+            exchange.fail(errors.OutcomeUnknown("an internal error"))
+
+    def _run(self, exchange: Exchange) -> None:
+        matching = [
+            route
+            for route in self._routes
+            if _matches(route.pattern, exchange.path)
+        ]
+        if not matching:
+            raise errors.NotFound("no such resource")
+        for route in matching:
+            if route.method == exchange.method:
+                if not route.is_open:
+                    header = exchange.headers.get("Authorization")
+                    exchange.who = self._tokens.identify(header)
+                route.handler(exchange)
+                return
+        raise errors.InvalidRequest("the resource has no such method")
+
+
+class Gateway(circuits.Component):
+    """Hand the web library's requests to the router.
+
+    :param router: the router
+    """
+
+    channel = "web"
+
+    def __init__(self, *, router: Router) -> None:
+        super().__init__()
+        self._router = router
+
+    @circuits.handler("request", priority=100)
+    def _on_request(
+        self, event: typing.Any, req: typing.Any, res: typing.Any
+    ) -> bool:
+        event.stop()
+
+        def respond(
+            status: int, kind: str, body: bytes, headers: dict[str, str]
+        ) -> None:
+            res.status = status
+            res.headers["Content-Type"] = kind
+            for name, value in headers.items():
+                res.headers[name] = value
+            res.body = body
+            self.fire(web_events.response(res))
+
+        exchange = Exchange(
+            method=req.method,
+            path=_path_parts(req.path),
+            query=_query(req.qs),
+            headers=req.headers,
+            body=req.body.read(),
+            respond=respond,
+        )
+        self._router.run(exchange)
+        return True
+
+
+def _path_parts(path: str) -> tuple[str, ...]:
+    parts = path.strip("/").split("/")
+    return tuple(urllib.parse.unquote(part) for part in parts)
+
+
+def _query(text: str | bytes) -> dict[str, str]:
+    plain = text.decode("latin-1") if isinstance(text, bytes) else text
+    return dict(urllib.parse.parse_qsl(plain))
+
+
+def _matches(pattern: tuple[str, ...], path: tuple[str, ...]) -> bool:
+    if pattern and pattern[-1] == "**":
+        head = pattern[:-1]
+        return len(path) > len(head) and _matches(head, path[: len(head)])
+    if len(pattern) != len(path):
+        return False
+    return all(
+        want in ("*", part) for want, part in zip(pattern, path, strict=True)
+    )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests and load runs."""
