--- a/chervilwheel/api.py
+++ b/chervilwheel/api.py
@@ -87,6 +87,7 @@
             team=exchange.who.team,
             spec=spec,
             is_durable=needs_ledger,
+            has_callers_key=key is not None,
         )
         wait_s = min(
             exchange.number("wait_ms", MAX_WAIT_S * 1000) / 1000, MAX_WAIT_S
--- a/chervilwheel/config.py
+++ b/chervilwheel/config.py
@@ -153,6 +153,19 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Storage:
+    """How a keeper's files are written."""
+
+    least_sync_ms: float = _opt(
+        0.0,
+        doc="A synced write takes at least so long; for rehearsals.",
+        unit="ms",
+        low=0.0,
+        high=1000.0,
+    )
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Log:
     """How records are written."""
@@ -179,6 +192,7 @@
     )
     auth: Auth = _checked.section(Auth, doc="Tokens known at start.")
     limits: Limits = _checked.section(Limits, doc="Bounds.")
+    storage: Storage = _checked.section(Storage, doc="A keeper's files.")
     log: Log = _checked.section(Log, doc="Logs.")
 
     def founders(self, group: str) -> list[Keeper]:
--- a/chervilwheel/daemon.py
+++ b/chervilwheel/daemon.py
@@ -5,6 +5,7 @@
 import logging
 import pathlib
 import random
+import secrets
 import signal
 import sys
 import typing
@@ -13,19 +14,26 @@
 from circuits.web import servers
 
 from chervilwheel import addresses
+from chervilwheel import admission
 from chervilwheel import api
 from chervilwheel import auth
 from chervilwheel import calls
 from chervilwheel import clock
 from chervilwheel import config
 from chervilwheel import directory
+from chervilwheel import disk
 from chervilwheel import edge
 from chervilwheel import errors
 from chervilwheel import gateway
+from chervilwheel import groupclient
+from chervilwheel import grouphost
 from chervilwheel import guard
 from chervilwheel import ids
+from chervilwheel import keeper
+from chervilwheel import keeperledger
 from chervilwheel import ledgers
 from chervilwheel import logs
+from chervilwheel import peers
 from chervilwheel import pipeline
 from chervilwheel import slotsource
 from chervilwheel import streams
@@ -51,12 +59,36 @@
         self.loop = streams.StreamLoop().register(self)
         timers.TimerLoop(heap=self.heap).register(self)
         self._stack.callback(self.loop.close)
+        self.boot = secrets.token_hex(4)
+        self.links = peers.Peers(
+            name=ids.InstanceId(cfg.instance.name),
+            key=config.cluster_key(cfg),
+            loop=self.loop,
+            heap=self.heap,
+        )
+        self._stack.callback(self.links.close)
+        self.links.listen(addresses.parse(cfg.listen.peer))
+        if config.ROLE_KEEPER in cfg.instance.roles:
+            self._add_keeper()
         if config.ROLE_ENTRY in cfg.instance.roles:
             self._add_entry()
 
+    def _add_keeper(self) -> None:
+        limits = self._cfg.storage
+        store = disk.FileDisk(least_sync_s=limits.least_sync_ms / 1000)
+        self._stack.callback(store.close)
+        self.keeper = keeper.Keeper(
+            cfg=self._cfg,
+            links=self.links,
+            heap=self.heap,
+            store=store,
+            machines=_machine,
+        )
+
     def _add_entry(self) -> None:
         cfg = self._cfg
         clk = self.heap.clock
+        zone = ids.ZoneId(cfg.instance.zone)
         known = directory.Directory()
         caller = calls.Caller(
             loop=self.loop,
@@ -69,18 +101,17 @@
             chooser=slotsource.TwoChoicesChooser(rng=random.Random()),
             clk=clk,
         )
-        runner = pipeline.Pipeline(
-            ledger=ledgers.MemoryLedger(),
+        runner = ids.InstanceId(f"{cfg.instance.name}#{self.boot}")
+        runs = pipeline.Pipeline(
+            durable=self._ledger(runner, zone),
+            volatile=ledgers.MemoryLedger(runner=runner),
             slots=slots,
             caller=caller,
             heap=self.heap,
+            admission=admission.OpenAdmission(),
         )
         tokens = auth.TokenBook(credentials=_credentials(cfg))
-        job_api = api.JobApi(
-            zone=ids.ZoneId(cfg.instance.zone),
-            runner=runner,
-            heap=self.heap,
-        )
+        job_api = api.JobApi(zone=zone, runner=runs, heap=self.heap)
         endpoint_api = api.EndpointApi(
             known=known, announced=lambda _: slots.serve(), clk=clk
         )
@@ -88,6 +119,29 @@
         router = gateway.Router(routes=routes, tokens=tokens)
         self._add_web(router)
 
+    def _ledger(
+        self, runner: ids.InstanceId, zone: ids.ZoneId
+    ) -> ledgers.Ledger:
+        cfg = self._cfg
+        if not cfg.cluster.keepers:
+            return ledgers.MemoryLedger(runner=runner)
+        groups: dict[str, list[ids.InstanceId]] = {}
+        for each in cfg.cluster.keepers:
+            name = ids.InstanceId(each.name)
+            self.links.know(name, addresses.parse(each.address))
+            for group in each.groups:
+                groups.setdefault(group, []).append(name)
+        client = groupclient.GroupClient(
+            links=self.links, heap=self.heap, groups=groups
+        )
+        return keeperledger.KeeperLedger(
+            client=client,
+            runner=runner,
+            zone=zone,
+            zones=[ids.ZoneId(each) for each in cfg.cluster.zones],
+            heap=self.heap,
+        )
+
     def _add_web(self, router: gateway.Router) -> None:
         limits = self._cfg.limits
         guarded = edge.Edge(
@@ -116,6 +170,10 @@
         self._stack.close()
 
 
+def _machine(group: str) -> grouphost.Machine:
+    return keeper.LedgerMachine()
+
+
 def _credentials(cfg: config.Settings) -> list[auth.Credential]:
     return [
         auth.Credential(
@@ -133,11 +191,11 @@
     opts = parser.parse_args()
     try:
         cfg = config.load(opts.settings)
-    except errors.InvalidSettings as exc:
+        logs.configure(level=cfg.log.level, instance=cfg.instance.name)
+        daemon = Daemon(cfg=cfg, clk=clock.SystemClock())
+    except errors.ChervilwheelError as exc:
         print(f"chervilwheeld: {exc.detail}", file=sys.stderr)
         raise SystemExit(EXIT_SETTINGS) from exc
-    logs.configure(level=cfg.log.level, instance=cfg.instance.name)
-    daemon = Daemon(cfg=cfg, clk=clock.SystemClock())
     _LOG.info("daemon: started", extra={"zone": cfg.instance.zone})
     try:
         daemon.run()
--- /dev/null
+++ b/chervilwheel/grouphost.py
@@ -0,0 +1,244 @@
+"""Drive one replica: its journal, its state machine, its callers."""
+
+import abc
+import logging
+import typing
+
+from chervilwheel import errors
+from chervilwheel import ids
+from chervilwheel import journal
+from chervilwheel import ledger
+from chervilwheel import messages
+from chervilwheel import replica
+from chervilwheel import timers
+
+_LOG = logging.getLogger("keeper")
+TICK_S = 0.05
+COMPACT_BYTES = 64 * 1024 * 1024
+MAX_PROPOSED = 512
+
+Respond = typing.Callable[[messages.GroupReply], None]
+SendTo = typing.Callable[[ids.InstanceId, typing.Any], typing.Any]
+
+
+class Machine(abc.ABC):
+    """A state machine that a replica's log drives."""
+
+    @property
+    @abc.abstractmethod
+    def last_wall_ms(self) -> int:
+        """Wall time of the last batch applied, milliseconds."""
+
+    @abc.abstractmethod
+    def apply(self, data: bytes) -> list[bytes]:
+        """Apply an entry; return an encoded reply for each command."""
+
+    @abc.abstractmethod
+    def dump(self) -> bytes:
+        """Encode the whole state."""
+
+    @abc.abstractmethod
+    def load(self, data: bytes) -> None:
+        """Take over an encoded state; empty bytes mean the first state."""
+
+
+class _Pending(typing.NamedTuple):
+    """A request whose commands wait in the log."""
+
+    number: int
+    count: int
+    respond: Respond
+
+
+class GroupHost:
+    """Run one replica of one group.
+
+    :param group: the group's name
+    :param member: the replica, with its disk restored
+    :param book: its journal, opened
+    :param machine: its state machine, still empty
+    :param heap: timers
+    :param send: sends a message to an instance
+    """
+
+    def __init__(
+        self,
+        *,
+        group: str,
+        member: replica.Replica,
+        book: journal.Journal,
+        machine: Machine,
+        heap: timers.TimerHeap,
+        send: SendTo,
+    ) -> None:
+        self.group = group
+        self.member = member
+        self.is_halted = False
+        self.syncs = 0
+        self.commands = 0
+        self._book = book
+        self._machine = machine
+        self._heap = heap
+        self._send = send
+        self._applied = member.log.snapshot.index
+        self._arrived: list[tuple[messages.GroupRequest, Respond]] = []
+        self._pending: dict[int, tuple[int, list[_Pending]]] = {}
+        self._is_pump_due = False
+        self._time_base = (0, heap.clock.now())
+        machine.load(member.log.snapshot.data)
+        heap.every(TICK_S, self._tick)
+        self._pump_soon()
+
+    def request(
+        self, request: messages.GroupRequest, respond: Respond
+    ) -> None:
+        """Take commands; the reply comes when they are applied."""
+        if self.is_halted or not self.member.is_leader:
+            respond(self._refusal(request.number))
+            return
+        self._arrived.append((request, respond))
+        self._pump_soon()
+
+    def receive(self, message: replica.Message) -> None:
+        """Take a message of the group in."""
+        if self.is_halted:
+            return
+        self.member.receive(message, self._heap.clock.now())
+        self._pump_soon()
+
+    def resign(self) -> None:
+        """Hand leadership on, before a planned stop."""
+        self.member.resign(self._heap.clock.now())
+        self._pump_soon()
+
+    def _tick(self) -> None:
+        if self.is_halted:
+            return
+        self.member.tick(self._heap.clock.now())
+        if not self.member.is_leader:
+            self._fail_pending()
+        self._pump()
+
+    def _pump_soon(self) -> None:
+        if not self._is_pump_due:
+            self._is_pump_due = True
+            self._heap.call_later(0.0, self._pump)
+
+    def _pump(self) -> None:
+        self._is_pump_due = False
+        if self.is_halted:
+            return
+        try:
+            self._propose_arrived()
+            while self._step():
+                pass
+            self._compact_if_large()
+        except errors.StorageError as exc:
+            self._halt(exc)
+
+    def _propose_arrived(self) -> None:
+        arrived, self._arrived = self._arrived, []
+        if not arrived:
+            return
+        if not self.member.is_leader:
+            for request, respond in arrived:
+                respond(self._refusal(request.number))
+            return
+        commands: list[bytes] = []
+        waiting: list[_Pending] = []
+        for request, respond in arrived:
+            commands.extend(request.commands)
+            waiting.append(
+                _Pending(request.number, len(request.commands), respond)
+            )
+        batch = ledger.Batch(self._logical_ms(), tuple(commands))
+        data = ledger.CODEC.encode(batch)
+        now = self._heap.clock.now()
+        index = self.member.propose([data], now)
+        self._pending[index] = (self.member.term, waiting)
+
+    def _logical_ms(self) -> int:
+        # Time in the log advances with the monotonic clock only, so
+        # that a jump of the wall clock never ages what is remembered.
+        now = self._heap.clock.now()
+        base_ms, since = self._time_base
+        applied_ms = self._machine.last_wall_ms
+        if not base_ms:
+            base_ms = applied_ms or int(self._heap.clock.wall() * 1000)
+            since = now
+        logical_ms = max(base_ms + int((now - since) * 1000), applied_ms)
+        self._time_base = (logical_ms, now)
+        return logical_ms
+
+    def _step(self) -> bool:
+        actions = self.member.take()
+        if actions.is_empty:
+            return False
+        for send in actions.early:
+            self._send(send.to, send.message)
+        if actions.needs_sync:
+            self._book.save(actions)
+            self.syncs += 1
+            self.member.synced(self._heap.clock.now())
+        for send in actions.late:
+            self._send(send.to, send.message)
+        if actions.install is not None:
+            self._machine.load(actions.install.data)
+            self._applied = actions.install.index
+        for entry in actions.committed:
+            self._apply(entry)
+        return True
+
+    def _apply(self, entry: replica.Entry) -> None:
+        self._applied = entry.index
+        term, waiting = self._pending.pop(entry.index, (0, []))
+        results: list[bytes] = []
+        if entry.kind is replica.EntryKind.COMMAND:
+            results = self._machine.apply(entry.data)
+            self.commands += len(results)
+        is_ours = term == entry.term
+        for pending in waiting:
+            mine = tuple(results[: pending.count]) if is_ours else ()
+            del results[: pending.count]
+            status = messages.STATUS.ok if is_ours else messages.STATUS.unknown
+            pending.respond(self._reply(pending.number, status, mine))
+
+    def _fail_pending(self) -> None:
+        pending, self._pending = self._pending, {}
+        for _, waiting in pending.values():
+            for each in waiting:
+                each.respond(
+                    self._reply(each.number, messages.STATUS.unknown, ())
+                )
+
+    def _compact_if_large(self) -> None:
+        if self._book.bytes_since_snapshot < COMPACT_BYTES:
+            return
+        snapshot = self.member.compact(self._machine.dump(), self._applied)
+        entries = self.member.log.since(snapshot.index + 1)
+        self._book.compact(snapshot, entries)
+
+    def _halt(self, exc: errors.StorageError) -> None:
+        self.is_halted = True
+        _LOG.error(
+            "keeper: group halted, its disk failed",
+            extra={"group": self.group, "error": exc.detail},
+        )
+        self._fail_pending()
+        for request, respond in self._arrived:
+            respond(self._refusal(request.number))
+        self._arrived = []
+
+    def _refusal(self, number: int) -> messages.GroupReply:
+        leader = self.member.leader
+        known = leader is not None and leader != self.member.me
+        name = leader.name if known and leader else ids.InstanceId("")
+        return messages.GroupReply(
+            number, self.group, messages.STATUS.not_leader, name, ()
+        )
+
+    def _reply(
+        self, number: int, status: str, results: tuple[bytes, ...]
+    ) -> messages.GroupReply:
+        leader = self.member.me.name
+        return messages.GroupReply(number, self.group, status, leader, results)
--- a/chervilwheel/jobs.py
+++ b/chervilwheel/jobs.py
@@ -120,6 +120,16 @@
     return table
 
 
+def json_text(body: bytes) -> str | None:
+    """Return an endpoint's answer as JSON text, None when it is not."""
+    try:
+        text = body.decode("utf-8")
+        json.loads(text, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError):
+        return None
+    return text
+
+
 def parse_job(table: dict[str, typing.Any]) -> JobSpec:
     """Check a submitted job.
 
--- /dev/null
+++ b/chervilwheel/keeper.py
@@ -0,0 +1,257 @@
+"""The keeper role: replicas of the ledgers and of the settings."""
+
+import logging
+import pathlib
+import random
+import secrets
+import tomllib
+import typing
+
+from chervilwheel import addresses
+from chervilwheel import config
+from chervilwheel import disk
+from chervilwheel import errors
+from chervilwheel import grouphost
+from chervilwheel import ids
+from chervilwheel import journal
+from chervilwheel import ledger
+from chervilwheel import messages
+from chervilwheel import peers
+from chervilwheel import replica
+from chervilwheel import timers
+
+_LOG = logging.getLogger("keeper")
+IDENTITY_NAME = "identity.toml"
+FOUNDING_DISK = "founding"
+FORGET_S = 60.0
+
+Watcher = tuple[typing.Any, int]
+Told = typing.Callable[[bytes], None]
+
+
+def found(folder: pathlib.Path, store: disk.Disk) -> None:
+    """Prepare a data folder for a keeper of a new cluster.
+
+    Done once for each founding keeper. A folder that was lost is never
+    founded again: its keeper starts with an empty one and is taken in.
+
+    :raises errors.StorageError: when the folder is not empty
+    """
+    if store.names(folder):
+        raise errors.StorageError(f"{folder}: the folder is not empty")
+    _write_identity(folder, store, FOUNDING_DISK)
+
+
+def _write_identity(
+    folder: pathlib.Path, store: disk.Disk, disk_id: str
+) -> None:
+    text = f'disk = "{disk_id}"\nformat_version = {journal.FORMAT_VERSION}\n'
+    store.replace(folder / IDENTITY_NAME, text.encode())
+
+
+def disk_identity(folder: pathlib.Path, store: disk.Disk) -> str:
+    """Read the identity of a data folder, or give it a new one.
+
+    :raises errors.StorageError: when the folder has data but no identity
+    """
+    names = store.names(folder)
+    if IDENTITY_NAME in names:
+        text = store.read(folder / IDENTITY_NAME).decode()
+        return str(tomllib.loads(text)["disk"])
+    if names:
+        raise errors.StorageError(f"{folder}: {IDENTITY_NAME} is missing")
+    fresh = secrets.token_hex(8)
+    _write_identity(folder, store, fresh)
+    _LOG.warning(
+        "keeper: an empty disk joins as a learner", extra={"disk": fresh}
+    )
+    return fresh
+
+
+class LedgerMachine(grouphost.Machine):
+    """A zone's ledger as a state machine, with watchers."""
+
+    def __init__(self) -> None:
+        self.ledger = ledger.Ledger(finished=self._on_finished)
+        self._watchers: dict[ids.JobId, dict[Watcher, Told]] = {}
+
+    @property
+    def last_wall_ms(self) -> int:
+        """Wall time of the last batch applied, milliseconds."""
+        return self.ledger.last_wall_ms
+
+    def apply(self, data: bytes) -> list[bytes]:
+        """Apply an entry."""
+        return self.ledger.apply(data)
+
+    def dump(self) -> bytes:
+        """Encode the ledger."""
+        return self.ledger.dump()
+
+    def load(self, data: bytes) -> None:
+        """Take over a ledger."""
+        self.ledger.load(data)
+
+    def watch(self, job: ids.JobId, watcher: Watcher, told: Told) -> None:
+        """Tell the reply of a submission when it is finished.
+
+        :param watcher: who asks; asking again takes the former's place
+        """
+        reply = self.ledger.state_of(job)
+        if reply.verdict is ledger.Verdict.FINISHED:
+            told(ledger.CODEC.encode(reply))
+        else:
+            self._watchers.setdefault(job, {})[watcher] = told
+
+    def drop_watchers(self) -> None:
+        """Forget all watchers; they ask the next leader."""
+        self._watchers = {}
+
+    def _on_finished(self, reply: ledger.JobReply) -> None:
+        watchers = self._watchers.pop(reply.job, None)
+        if watchers:
+            data = ledger.CODEC.encode(reply)
+            for told in watchers.values():
+                told(data)
+
+
+class Keeper:
+    """All replicas of one instance.
+
+    :param cfg: the instance's settings
+    :param links: links to the other instances
+    :param heap: timers
+    :param store: the disk
+    :param machines: makes the state machine of a group
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: config.Settings,
+        links: peers.Peers,
+        heap: timers.TimerHeap,
+        store: disk.Disk,
+        machines: typing.Callable[[str], grouphost.Machine],
+    ) -> None:
+        self._cfg = cfg
+        self._links = links
+        self._heap = heap
+        self._store = store
+        self.hosts: dict[str, grouphost.GroupHost] = {}
+        self.machines: dict[str, grouphost.Machine] = {}
+        folder = pathlib.Path(cfg.instance.data_folder)
+        disk_id = disk_identity(folder, store)
+        self.me = replica.Member(ids.InstanceId(cfg.instance.name), disk_id)
+        for keeper in cfg.cluster.keepers:
+            links.know(
+                ids.InstanceId(keeper.name), addresses.parse(keeper.address)
+            )
+        for group in cfg.groups():
+            self.machines[group] = machines(group)
+            self.hosts[group] = self._open(group, folder)
+        for kind in messages.REPLICA_KINDS:
+            links.handle(kind, self._on_replica_message)
+        links.handle(messages.GroupRequest, self._on_request)
+        links.handle(messages.WatchRequest, self._on_watch)
+        heap.every(FORGET_S, self._forget_old)
+
+    def resign(self) -> None:
+        """Hand leadership on everywhere."""
+        for host in self.hosts.values():
+            host.resign()
+
+    def _open(self, group: str, folder: pathlib.Path) -> grouphost.GroupHost:
+        book = journal.Journal(
+            store=self._store,
+            folder=folder / group,
+            group=group,
+            disk_id=self.me.disk,
+        )
+        restored = book.open()
+        founders = self._cfg.founders(group)
+        if self.me.disk == FOUNDING_DISK and not restored.snapshot.index:
+            restored = restored._replace(snapshot=_first(founders))
+        peer_names = [ids.InstanceId(each.name) for each in founders]
+        home = group.removeprefix(config.LEDGER_PREFIX)
+        is_foreign = (
+            group.startswith(config.LEDGER_PREFIX)
+            and self._cfg.instance.zone != home
+        )
+        member = replica.Replica(
+            group=group,
+            me=self.me,
+            restored=restored,
+            peers=peer_names,
+            rng=random.Random(),
+            now=self._heap.clock.now(),
+            timing=replica.Timing(),
+            is_reluctant=is_foreign,
+        )
+        return grouphost.GroupHost(
+            group=group,
+            member=member,
+            book=book,
+            machine=self.machines[group],
+            heap=self._heap,
+            send=self._links.send,
+        )
+
+    def _on_replica_message(
+        self, link: peers.Link, message: typing.Any
+    ) -> None:
+        host = self.hosts.get(message.group)
+        if host is not None:
+            host.receive(message)
+
+    def _on_request(
+        self, link: peers.Link, message: messages.GroupRequest
+    ) -> None:
+        host = self.hosts.get(message.group)
+        if host is not None:
+            host.request(message, link.send)
+
+    def _on_watch(
+        self, link: peers.Link, message: messages.WatchRequest
+    ) -> None:
+        host = self.hosts.get(message.group)
+        machine = self.machines.get(message.group)
+        if host is None or not isinstance(machine, LedgerMachine):
+            return
+        if not host.member.is_leader:
+            return
+
+        def told(data: bytes) -> None:
+            link.send(
+                messages.GroupReply(
+                    message.number,
+                    message.group,
+                    messages.STATUS.finished,
+                    self.me.name,
+                    (data,),
+                )
+            )
+
+        machine.watch(message.job, (link, message.number), told)
+
+    def _forget_old(self) -> None:
+        retention_ms = int(self._cfg.limits.retention_s * 1000)
+        for group, host in self.hosts.items():
+            machine = self.machines[group]
+            if not isinstance(machine, LedgerMachine):
+                continue
+            if not host.member.is_leader:
+                machine.drop_watchers()
+                continue
+            before_ms = max(0, machine.last_wall_ms - retention_ms)
+            command = ledger.CODEC.encode(ledger.ForgetCommand(before_ms))
+            request = messages.GroupRequest(0, group, (command,))
+            host.request(request, lambda _: None)
+
+
+def _first(founders: typing.Sequence[config.Keeper]) -> replica.Snapshot:
+    voters = tuple(
+        replica.Member(ids.InstanceId(each.name), FOUNDING_DISK)
+        for each in founders
+    )
+    return replica.Snapshot(0, 0, replica.GroupConfig(voters), b"")
--- a/chervilwheel/ledgers.py
+++ b/chervilwheel/ledgers.py
@@ -1,24 +1,13 @@
 """What a run asks of the ledger, and a ledger without durability."""
 
 import abc
-import enum
 import typing
 
 from chervilwheel import ids
 from chervilwheel import jobs
+from chervilwheel import ledger
 
-
-class Verdict(enum.Enum):
-    """What the ledger says to a claim."""
-
-    OWNED = "owned"
-    JOINED = "joined"
-    FINISHED = "finished"
-    ABSENT = "absent"
-    KEY_REUSED = "key_reused"
-    EXPIRED = "expired"
-    FOREIGN = "foreign"
-    UNREACHABLE = "unreachable"
+Verdict = ledger.Verdict
 
 
 class Claim(typing.NamedTuple):
@@ -35,43 +24,25 @@
     is_lookup: bool = False
 
 
-class ClaimReply(typing.NamedTuple):
-    """What the ledger says; ``answer`` only when finished."""
-
-    verdict: Verdict
-    epoch: int = 0
-    answer: jobs.Answer | None = None
-
-
-class IntentVerdict(enum.Enum):
-    """Whether the intended tasks may be started."""
-
-    SYNCED = "synced"
-    FENCED = "fenced"
-    UNREACHABLE = "unreachable"
-
-
-class Recorded(typing.NamedTuple):
-    """The result of one task of a submission."""
-
-    task: int
-    result: jobs.TaskResult
-
-
-ClaimDone = typing.Callable[[ClaimReply], None]
-IntentDone = typing.Callable[[IntentVerdict], None]
-RecordDone = typing.Callable[[bool], None]
-WatchDone = typing.Callable[[ClaimReply], None]
+Done = typing.Callable[[ledger.JobReply | None], None]
+OrphansDone = typing.Callable[[tuple[ledger.Orphan, ...]], None]
 
 
 class Ledger(abc.ABC):
     """Remembers submissions, start intents and results.
 
-    Callbacks come once each, maybe before the method returns.
+    Each callback comes once, maybe before the method returns; it is
+    given None when the ledger could not be asked in time and nothing is
+    known of the effect.
     """
 
+    @property
     @abc.abstractmethod
-    def claim(self, claim: Claim, done: ClaimDone) -> None:
+    def runner(self) -> ids.InstanceId:
+        """Who claims are made for: this run of this instance."""
+
+    @abc.abstractmethod
+    def claim(self, claim: Claim, done: Done) -> None:
         """Ask to run a submission."""
 
     @abc.abstractmethod
@@ -80,7 +51,7 @@
         job: ids.JobId,
         epoch: int,
         tasks: typing.Sequence[int],
-        done: IntentDone,
+        done: Done,
     ) -> None:
         """Write down that tasks are about to be started."""
 
@@ -89,96 +60,117 @@
         self,
         job: ids.JobId,
         epoch: int,
-        results: typing.Sequence[Recorded],
-        done: RecordDone,
+        results: typing.Sequence[ledger.TaskRecord],
+        done: Done,
     ) -> None:
-        """Write down results; ``done`` tells whether they are kept."""
+        """Write down results."""
 
     @abc.abstractmethod
-    def watch(self, job: ids.JobId, timeout_s: float, done: WatchDone) -> None:
-        """Tell when a submission is finished, or its state at the end."""
+    def cancel(self, job: ids.JobId, team: ids.TeamId, done: Done) -> None:
+        """Forbid further starts of a submission."""
 
+    @abc.abstractmethod
+    def watch(self, job: ids.JobId, timeout_s: float, done: Done) -> None:
+        """Tell when a submission is finished."""
 
-class _Entry:
-    """A submission of the memory ledger."""
+    @abc.abstractmethod
+    def adopt(self, job: ids.JobId, epoch: int, done: Done) -> None:
+        """Take a submission over from a lost runner."""
 
-    def __init__(self, *, claim: Claim) -> None:
-        self.team = claim.team
-        self.digest = claim.spec.digest
-        self.results: list[jobs.TaskResult | None] = [
-            None for _ in claim.spec.tasks
-        ]
-        self.watchers: list[WatchDone] = []
+    @abc.abstractmethod
+    def orphans(
+        self, live: typing.Sequence[ids.InstanceId], done: OrphansDone
+    ) -> None:
+        """List submissions of this zone that no live runner has."""
 
 
 class MemoryLedger(Ledger):
     """A ledger that lives and dies with its process.
 
-    It is the baseline that shows what durability costs.
+    It is the baseline that shows what durability costs, and it serves
+    single idempotent requests, which need no durable claim.
+
+    :param runner: who claims are made for
     """
 
-    def __init__(self) -> None:
-        self._entries: dict[ids.JobId, _Entry] = {}
+    def __init__(self, *, runner: ids.InstanceId) -> None:
+        self._runner = runner
+        self._watchers: dict[ids.JobId, list[Done]] = {}
+        self._ledger = ledger.Ledger(finished=self._on_finished)
 
-    def claim(self, claim: Claim, done: ClaimDone) -> None:
+    @property
+    def runner(self) -> ids.InstanceId:
+        """Who claims are made for."""
+        return self._runner
+
+    def claim(self, claim: Claim, done: Done) -> None:
         """Claim a submission in memory."""
-        entry = self._entries.get(claim.job)
-        if entry is None:
-            if claim.is_lookup:
-                done(ClaimReply(Verdict.ABSENT))
-                return
-            self._entries[claim.job] = _Entry(claim=claim)
-            done(ClaimReply(Verdict.OWNED, epoch=1))
-        elif entry.team != claim.team:
-            done(ClaimReply(Verdict.FOREIGN))
-        elif entry.digest != claim.spec.digest:
-            done(ClaimReply(Verdict.KEY_REUSED))
-        else:
-            done(self._state(claim.job, entry))
+        done(self._run(claim_command(claim, self._runner)))
 
     def intend(
         self,
         job: ids.JobId,
         epoch: int,
         tasks: typing.Sequence[int],
-        done: IntentDone,
+        done: Done,
     ) -> None:
-        """Agree at once: nothing outlives the process anyway."""
-        done(IntentVerdict.SYNCED)
+        """Note intents in memory."""
+        done(self._run(ledger.IntendCommand(job, epoch, tuple(tasks))))
 
     def record(
         self,
         job: ids.JobId,
         epoch: int,
-        results: typing.Sequence[Recorded],
-        done: RecordDone,
+        results: typing.Sequence[ledger.TaskRecord],
+        done: Done,
     ) -> None:
         """Keep results in memory."""
-        entry = self._entries[job]
-        for recorded in results:
-            entry.results[recorded.task] = recorded.result
-        done(True)
-        reply = self._state(job, entry)
-        if reply.verdict is Verdict.FINISHED:
-            watchers, entry.watchers = entry.watchers, []
-            for watcher in watchers:
-                watcher(reply)
-
-    def watch(self, job: ids.JobId, timeout_s: float, done: WatchDone) -> None:
+        done(self._run(ledger.RecordCommand(job, epoch, tuple(results))))
+
+    def cancel(self, job: ids.JobId, team: ids.TeamId, done: Done) -> None:
+        """Forbid further starts."""
+        done(self._run(ledger.CancelCommand(job, team)))
+
+    def watch(self, job: ids.JobId, timeout_s: float, done: Done) -> None:
         """Tell when a submission of this process is finished."""
-        entry = self._entries.get(job)
-        if entry is None:
-            done(ClaimReply(Verdict.ABSENT))
-            return
-        reply = self._state(job, entry)
-        if reply.verdict is Verdict.FINISHED:
-            done(reply)
+        reply = self._ledger.state_of(job)
+        if reply.verdict is Verdict.JOINED:
+            self._watchers.setdefault(job, []).append(done)
         else:
-            entry.watchers.append(done)
-
-    def _state(self, job: ids.JobId, entry: _Entry) -> ClaimReply:
-        results = [each for each in entry.results if each is not None]
-        if len(results) < len(entry.results):
-            return ClaimReply(Verdict.JOINED, epoch=1)
-        answer = jobs.conclude(job, results)
-        return ClaimReply(Verdict.FINISHED, epoch=1, answer=answer)
+            done(reply)
+
+    def adopt(self, job: ids.JobId, epoch: int, done: Done) -> None:
+        """Take a submission over."""
+        done(self._run(ledger.AdoptCommand(job, epoch, self._runner)))
+
+    def orphans(
+        self, live: typing.Sequence[ids.InstanceId], done: OrphansDone
+    ) -> None:
+        """Find none: every run here is this process's own."""
+        done(())
+
+    def forget(self, job: ids.JobId) -> None:
+        """Drop a submission that nobody can ask for again."""
+        self._ledger.drop(job)
+
+    def _run(self, command: typing.Any) -> ledger.JobReply:
+        return self._ledger.run(command, wall_ms=0)
+
+    def _on_finished(self, reply: ledger.JobReply) -> None:
+        for watcher in self._watchers.pop(reply.job, ()):
+            watcher(reply)
+
+
+def claim_command(claim: Claim, runner: ids.InstanceId) -> ledger.ClaimCommand:
+    """Write a claim as a ledger command."""
+    tasks = "" if claim.is_lookup else jobs.dump_tasks(claim.spec.tasks)
+    return ledger.ClaimCommand(
+        job=claim.job,
+        team=claim.team,
+        digest=claim.spec.digest,
+        tasks=tasks,
+        is_gang=claim.spec.is_gang,
+        intents=claim.intents,
+        runner=runner,
+        is_lookup=claim.is_lookup,
+    )
--- a/chervilwheel/pipeline.py
+++ b/chervilwheel/pipeline.py
@@ -4,11 +4,15 @@
 import logging
 import typing
 
+from chervilwheel import _runs
+from chervilwheel import budgets
 from chervilwheel import calls
 from chervilwheel import clock
 from chervilwheel import errors
 from chervilwheel import ids
 from chervilwheel import jobs
+from chervilwheel import learned
+from chervilwheel import ledger
 from chervilwheel import ledgers
 from chervilwheel import slotsource
 from chervilwheel import timers
@@ -16,103 +20,78 @@
 _LOG = logging.getLogger("pipeline")
 MAX_ATTEMPTS = 4
 RETRY_AFTER_S = 1.0
+RETRY_SHARE = 0.1
+RETRY_BURST = 20.0
+HEDGE_QUANTILE = 0.95
+HEDGE_FACTOR = 1.5
+HEDGE_LEAST_S = 0.02
+ATTEMPT_FACTOR = 8.0
+ATTEMPT_LEAST_S = 2.0
+ANSWER_GRACE_S = 1.0
+INTEND_RETRY_S = 0.2
 
-AnswerDone = typing.Callable[[jobs.Answer], None]
-Problem = typing.Callable[[errors.ChervilwheelError], None]
+Submission = _runs.Submission
+AnswerDone = _runs.AnswerDone
+Problem = _runs.Problem
+Verdict = ledger.Verdict
 
 
-class Submission(typing.NamedTuple):
-    """A validated request to run a job."""
+class Admission(typing.Protocol):
+    """Decides whether a submission may be taken now."""
 
-    job: ids.JobId
-    team: ids.TeamId
-    spec: jobs.JobSpec
-    is_durable: bool
-
-
-class _TaskRun:
-    """One task on its way."""
-
-    __slots__ = (
-        "run",
-        "number",
-        "spec",
-        "deadline_at",
-        "attempt",
-        "result",
-        "is_recorded",
-        "has_intent",
-        "was_sent",
-        "waiting",
-        "grant",
-        "timer",
-        "avoid",
-    )
-
-    def __init__(
-        self, *, run: "_Run", number: int, spec: jobs.TaskSpec, now: float
-    ) -> None:
-        self.run = run
-        self.number = number
-        self.spec = spec
-        self.deadline_at = now + spec.deadline_ms / 1000
-        self.attempt = 0
-        self.result: jobs.TaskResult | None = None
-        self.is_recorded = False
-        self.has_intent = False
-        self.was_sent = False
-        self.waiting: slotsource.Waiting | None = None
-        self.grant: slotsource.Grant | None = None
-        self.timer: timers.Timer | None = None
-        self.avoid: ids.EndpointId | None = None
-
-
-class _Run:
-    """A submission that this instance runs."""
-
-    def __init__(self, *, submission: Submission, now: float) -> None:
-        self.submission = submission
-        self.epoch = 0
-        self.tasks = [
-            _TaskRun(run=self, number=number, spec=spec, now=now)
-            for number, spec in enumerate(submission.spec.tasks)
-        ]
-        self.waiters: list[AnswerDone] = []
-        self.unrecorded: list[ledgers.Recorded] = []
-        self.is_recording = False
-        self.is_answered = False
+    def check(
+        self, submission: Submission, now: float
+    ) -> errors.NotRun | None:
+        """Return why it may not, with when to come back."""
 
 
 class Pipeline:
     """Run submissions from claim to answer.
 
-    :param ledger: remembers submissions, intents and results
+    :param durable: remembers submissions over crashes
+    :param volatile: remembers single idempotent requests
     :param slots: hands out endpoints' slots
     :param caller: sends tasks to endpoints
     :param heap: timers
+    :param admission: decides what may be taken
     """
 
     def __init__(
         self,
         *,
-        ledger: ledgers.Ledger,
+        durable: ledgers.Ledger,
+        volatile: ledgers.MemoryLedger,
         slots: slotsource.SlotSource,
         caller: calls.Caller,
         heap: timers.TimerHeap,
+        admission: Admission,
     ) -> None:
-        self._ledger = ledger
+        self._durable = durable
+        self._volatile = volatile
         self._slots = slots
         self._caller = caller
         self._heap = heap
         self._clock: clock.Clock = heap.clock
-        self._runs: dict[ids.JobId, _Run] = {}
+        self._admission = admission
+        self._runs: dict[ids.JobId, _runs.Run] = {}
+        self._times = learned.LearnedTimes()
+        self._budget = budgets.RetryBudget(
+            share=RETRY_SHARE, burst=RETRY_BURST
+        )
         self.counts: collections.Counter[str] = collections.Counter()
+        self.over_ideal: typing.Callable[[float], None] = lambda _: None
 
     @property
     def running(self) -> int:
         """Submissions that are not answered."""
         return len(self._runs)
 
+    def is_running(self, job: ids.JobId) -> bool:
+        """Whether this instance runs a submission."""
+        return job in self._runs
+
+    # Admit and claim.
+
     def submit(
         self, submission: Submission, done: AnswerDone, problem: Problem
     ) -> None:
@@ -121,196 +100,492 @@
         :param done: called once with the answer
         :param problem: called instead when the submission is refused
         """
-        self._claim(submission, done, problem)
-
-    def _claim(
-        self, submission: Submission, done: AnswerDone, problem: Problem
-    ) -> None:
+        waiter = _runs.Waiter(done, problem)
         known = self._runs.get(submission.job)
         if known is not None:
-            self._join_here(known, submission, done, problem)
+            self._join_here(known, submission, waiter)
             return
-        run = _Run(submission=submission, now=self._clock.now())
-        self._runs[submission.job] = run
-        run.waiters.append(done)
-        claim = ledgers.Claim(submission.job, submission.team, submission.spec)
-        self._ledger.claim(
-            claim, lambda reply: self._on_claimed(run, reply, problem)
+        self.counts["submitted"] += 1
+        refusal = self._admission.check(submission, self._clock.now())
+        if refusal is not None:
+            self._refuse(submission, waiter, refusal)
+        else:
+            self._claim(submission, waiter)
+
+    def _refuse(
+        self,
+        submission: Submission,
+        waiter: _runs.Waiter,
+        refusal: errors.NotRun,
+    ) -> None:
+        self.counts["refused"] += 1
+        if not submission.has_callers_key:
+            waiter.problem(refusal)
+            return
+
+        def on_looked_up(reply: ledger.JobReply | None) -> None:
+            if reply is not None and reply.verdict is Verdict.ABSENT:
+                waiter.problem(refusal)
+            else:
+                self._on_not_owned(submission, waiter, reply)
+
+        claim = ledgers.Claim(
+            submission.job,
+            submission.team,
+            submission.spec,
+            is_lookup=True,
         )
+        self._durable.claim(claim, on_looked_up)
 
     def _join_here(
         self,
-        run: _Run,
+        run: _runs.Run,
         submission: Submission,
-        done: AnswerDone,
-        problem: Problem,
+        waiter: _runs.Waiter,
     ) -> None:
         if run.submission.team != submission.team:
-            problem(errors.Forbidden("the id belongs to another team"))
+            waiter.problem(errors.Forbidden("the id belongs to another team"))
         elif run.submission.spec.digest != submission.spec.digest:
-            problem(errors.KeyReused("the key came with another body"))
+            waiter.problem(errors.KeyReused("the key came with another body"))
         else:
-            run.waiters.append(done)
+            run.waiters.append(waiter)
+
+    def _claim(self, submission: Submission, waiter: _runs.Waiter) -> None:
+        book = self._durable if submission.is_durable else self._volatile
+        run = _runs.Run(
+            submission=submission, book=book, now=self._clock.now()
+        )
+        self._runs[submission.job] = run
+        run.waiters.append(waiter)
+        intents = self._early_intents(run)
+        claim = ledgers.Claim(
+            submission.job, submission.team, submission.spec, intents
+        )
+        self._watch_recording(run)
+        for task in run.tasks:
+            self._place(task)
+        book.claim(claim, lambda reply: self._on_claimed(run, intents, reply))
+
+    def _early_intents(self, run: _runs.Run) -> tuple[int, ...]:
+        # With slots free at once, the intents ride on the claim and the
+        # job costs one synced write before its first byte.
+        if not run.submission.is_durable:
+            return ()
+        numbers = [
+            task.number for task in run.tasks if not task.spec.is_idempotent
+        ]
+        if not numbers:
+            return ()
+        free = self._slots.free_hint(_need(run.tasks[numbers[0]]))
+        return tuple(numbers) if free >= len(run.tasks) else ()
 
     def _on_claimed(
-        self, run: _Run, reply: ledgers.ClaimReply, problem: Problem
+        self,
+        run: _runs.Run,
+        intents: tuple[int, ...],
+        reply: ledger.JobReply | None,
     ) -> None:
-        if reply.verdict is ledgers.Verdict.OWNED:
+        if reply is not None and reply.verdict is Verdict.OWNED:
             run.epoch = reply.epoch
+            for number in intents:
+                run.tasks[number].has_intent = True
             for task in run.tasks:
-                self._place(task)
+                self._start_if_ready(task)
+            self._record(run)
             return
-        del self._runs[run.submission.job]
-        problem(errors.OutcomeUnknown(f"claim: {reply.verdict.value}"))
+        self._drop(run)
+        for waiter in run.waiters:
+            self._on_not_owned(run.submission, waiter, reply)
 
-    def _place(self, task: _TaskRun) -> None:
+    def _on_not_owned(
+        self,
+        submission: Submission,
+        waiter: _runs.Waiter,
+        reply: ledger.JobReply | None,
+    ) -> None:
+        if reply is None:
+            waiter.problem(
+                errors.OutcomeUnknown(
+                    "the ledger of the submission can't be reached",
+                    retry_after_s=RETRY_AFTER_S,
+                )
+            )
+        elif reply.verdict is Verdict.FINISHED:
+            waiter.done(_runs.answer_of(reply))
+        elif reply.verdict is Verdict.JOINED:
+            self._watch(submission, waiter)
+        else:
+            waiter.problem(_runs.claim_problem(reply))
+
+    def _watch(self, submission: Submission, waiter: _runs.Waiter) -> None:
+        self.counts["joined"] += 1
+        longest_ms = max(task.deadline_ms for task in submission.spec.tasks)
+
+        def on_finished(reply: ledger.JobReply | None) -> None:
+            if reply is not None and reply.verdict is Verdict.FINISHED:
+                waiter.done(_runs.answer_of(reply))
+            else:
+                waiter.problem(
+                    errors.OutcomeUnknown(
+                        "the submission runs at another instance",
+                        retry_after_s=RETRY_AFTER_S,
+                    )
+                )
+
+        timeout_s = longest_ms / 1000 + ANSWER_GRACE_S
+        self._durable.watch(submission.job, timeout_s, on_finished)
+
+    # Cancel and adopt.
+
+    def cancel(
+        self, job: ids.JobId, team: ids.TeamId, done: ledgers.Done
+    ) -> None:
+        """Forbid further starts of a submission, wherever it runs."""
+
+        def on_cancelled(reply: ledger.JobReply | None) -> None:
+            if reply is not None and reply.verdict is Verdict.JOINED:
+                self.cancel_here(job)
+            done(reply)
+
+        self._durable.cancel(job, team, on_cancelled)
+
+    def cancel_here(self, job: ids.JobId) -> None:
+        """End the tasks of a cancelled submission that are not started."""
+        run = self._runs.get(job)
+        if run is None or run.is_cancelled:
+            return
+        run.is_cancelled = True
+        self.counts["cancelled"] += 1
+        for task in run.tasks:
+            if not task.attempts:
+                self._give_up(task, "cancelled before it was started")
+
+    def adopt(self, orphan: ledger.Orphan) -> None:
+        """Finish a submission that a lost runner left."""
+        if orphan.job in self._runs:
+            return
+
+        def on_adopted(reply: ledger.JobReply | None) -> None:
+            if reply is None or reply.verdict is not Verdict.OWNED:
+                return
+            if orphan.job in self._runs:
+                return
+            self.counts["adopted"] += 1
+            run = _runs.adopted_run(reply, self._durable, self._clock.now())
+            self._runs[orphan.job] = run
+            for task in run.tasks:
+                if task.result is None:
+                    self._place(task)
+
+        self._durable.adopt(orphan.job, orphan.epoch, on_adopted)
+
+    # Place.
+
+    def _place(self, task: _runs.TaskRun) -> None:
         task.timer = self._heap.call_at(
             task.deadline_at, lambda: self._on_deadline(task)
         )
         self._queue(task)
 
-    def _queue(self, task: _TaskRun) -> None:
-        need = slotsource.Need(
-            task.spec.service,
-            task.run.submission.team,
-            task.spec.urgency,
-        )
+    def _queue(self, task: _runs.TaskRun) -> None:
+        if task.waiting is not None:
+            return
         task.waiting = slotsource.Waiting(
-            need=need,
+            need=_need(task),
             deadline_at=task.deadline_at,
             granted=lambda grant: self._on_grant(task, grant),
             avoid=task.avoid,
         )
         self._slots.add(task.waiting)
 
-    def _on_grant(self, task: _TaskRun, grant: slotsource.Grant) -> None:
+    def _on_grant(self, task: _runs.TaskRun, grant: slotsource.Grant) -> None:
         task.waiting = None
+        if task.is_over:
+            self._slots.release(grant, slotsource.Use.UNUSED)
+            return
         task.grant = grant
-        if task.spec.is_idempotent or task.has_intent:
-            self._start(task)
+        self._start_if_ready(task)
+
+    def _start_if_ready(self, task: _runs.TaskRun) -> None:
+        run = task.run
+        if task.grant is None or not run.epoch:
             return
-        self._ledger.intend(
-            task.run.submission.job,
-            task.run.epoch,
+        if task.is_over:
+            self._return_grant(task)
+        elif task.spec.is_idempotent or task.has_intent:
+            self._start(task)
+        else:
+            self._intend(task)
+
+    def _intend(self, task: _runs.TaskRun) -> None:
+        run = task.run
+        run.book.intend(
+            run.submission.job,
+            run.epoch,
             [task.number],
-            lambda verdict: self._on_intent(task, verdict),
+            lambda reply: self._on_intent(task, reply),
         )
 
     def _on_intent(
-        self, task: _TaskRun, verdict: ledgers.IntentVerdict
+        self, task: _runs.TaskRun, reply: ledger.JobReply | None
     ) -> None:
-        if verdict is ledgers.IntentVerdict.SYNCED:
+        if reply is None:
+            self._heap.call_later(
+                INTEND_RETRY_S, lambda: self._start_if_ready(task)
+            )
+        elif reply.verdict is Verdict.SYNCED:
             task.has_intent = True
-            self._start(task)
+            self._start_if_ready(task)
+        elif reply.verdict is Verdict.CANCELLED:
+            self.cancel_here(task.run.submission.job)
+            self._return_grant(task)
+        else:
+            self._abandon(task.run)
+
+    # Start and collect.
 
-    def _start(self, task: _TaskRun) -> None:
-        grant = task.grant
-        left_s = task.deadline_at - self._clock.now()
-        if grant is None or task.result is not None or left_s <= 0:
-            self._give_back(task, was_refused=False)
+    def _start(self, task: _runs.TaskRun) -> None:
+        grant = typing.cast(slotsource.Grant, task.grant)
+        task.grant = None
+        now = self._clock.now()
+        left_s = task.deadline_at - now
+        if left_s <= 0:
+            self._slots.release(grant, slotsource.Use.UNUSED)
             return
-        task.attempt += 1
-        task.was_sent = True
+        task.tries += 1
+        if task.tries == 1:
+            self._budget.earn()
         self.counts["sent"] += 1
+        attempt = _runs.Attempt(task=task, grant=grant, started_at=now)
+        task.attempts.append(attempt)
         call = calls.Call(
             endpoint=grant.endpoint.endpoint,
             address=grant.endpoint.address,
             job=task.run.submission.job,
             task=task.number,
-            attempt=task.attempt,
+            attempt=task.tries,
             payload=task.spec.payload.encode(),
-            timeout_s=left_s,
+            timeout_s=self._attempt_limit_s(task, left_s),
         )
-        self._caller.start(call, lambda done: self._collect(task, done))
-
-    def _collect(self, task: _TaskRun, done: calls.CallResult) -> None:
-        refused = done.outcome.proves_not_started
-        self._give_back(task, was_refused=refused)
-        if refused:
-            task.was_sent = False
-        if done.outcome is calls.CallOutcome.ANSWERED:
-            self._finish(
-                task,
-                jobs.TaskResult(jobs.Outcome.COMPLETE, done.body.decode()),
-            )
-        elif self._may_retry(task, done):
-            task.avoid = done.call.endpoint
+        self._hedge_later(task, attempt)
+        self._caller.start(call, lambda end: self._collect(attempt, end))
+
+    def _attempt_limit_s(self, task: _runs.TaskRun, left_s: float) -> float:
+        # Only idempotent work may be tried again, so only its attempts
+        # end before the deadline.
+        times = self._times.get(_kind(task))
+        if not task.spec.is_idempotent or times is None:
+            return left_s
+        limit_s = ATTEMPT_FACTOR * times.quantile_ms(0.99) / 1000
+        return min(left_s, max(ATTEMPT_LEAST_S, limit_s))
+
+    def _hedge_later(
+        self, task: _runs.TaskRun, attempt: _runs.Attempt
+    ) -> None:
+        times = self._times.get(_kind(task))
+        if not task.spec.is_idempotent or times is None:
+            return
+        delay_s = HEDGE_FACTOR * times.quantile_ms(HEDGE_QUANTILE) / 1000
+        attempt.hedge_timer = self._heap.call_later(
+            max(HEDGE_LEAST_S, delay_s), lambda: self._hedge(attempt)
+        )
+
+    def _hedge(self, attempt: _runs.Attempt) -> None:
+        task = attempt.task
+        if task.is_over or attempt not in task.attempts:
+            return
+        self._slots.mark_slow(attempt.grant)
+        may_try = task.tries < MAX_ATTEMPTS and task.waiting is None
+        if may_try and task.grant is None and self._budget.spend():
+            self.counts["hedged"] += 1
+            task.avoid = attempt.grant.endpoint.endpoint
+            self._queue(task)
+
+    def _collect(self, attempt: _runs.Attempt, end: calls.CallResult) -> None:
+        task = attempt.task
+        task.attempts.remove(attempt)
+        if attempt.hedge_timer is not None:
+            attempt.hedge_timer.cancel()
+        self._slots.release(attempt.grant, _use(end.outcome))
+        run_ms = (self._clock.now() - attempt.started_at) * 1000
+        self.counts[f"call_{end.outcome.value}"] += 1
+        if end.outcome in _SUSPICIOUS:
+            self._caller.distrust(end.call.address)
+        if task.is_over:
+            self._on_late(task, end)
+        elif end.outcome is calls.CallOutcome.ANSWERED:
+            self._times.add(_kind(task), run_ms)
+            self._finish(task, _runs.complete_result(task.number, end.body))
+        elif self._has_more(task):
+            task.bad_end = end
+        elif self._may_retry(task, end):
             self.counts["retried"] += 1
+            task.avoid = end.call.endpoint
+            task.bad_end = None
             self._queue(task)
         else:
-            self._finish(task, _bad_result(done))
-
-    def _may_retry(self, task: _TaskRun, done: calls.CallResult) -> bool:
-        is_safe = task.spec.is_idempotent or done.outcome.proves_not_started
-        in_time = self._clock.now() < task.deadline_at
-        return is_safe and in_time and task.attempt < MAX_ATTEMPTS
+            self._finish(task, _runs.bad_result(task.number, end))
 
-    def _give_back(self, task: _TaskRun, *, was_refused: bool) -> None:
-        grant, task.grant = task.grant, None
-        if grant is not None:
-            self._slots.release(grant, was_refused=was_refused)
+    def _on_late(self, task: _runs.TaskRun, end: calls.CallResult) -> None:
+        self.counts["late_answers"] += 1
+        run = task.run
+        if run.is_abandoned and end.outcome is calls.CallOutcome.ANSWERED:
+            # Still true, and the adopter may not know it.
+            record = _runs.complete_result(task.number, end.body)
+            run.book.record(
+                run.submission.job, run.epoch, [record], lambda _: None
+            )
 
-    def _on_deadline(self, task: _TaskRun) -> None:
-        if task.result is not None or task.was_sent:
+    def _has_more(self, task: _runs.TaskRun) -> bool:
+        is_under_way = task.attempts or task.waiting or task.grant
+        return bool(is_under_way) and self._clock.now() < task.deadline_at
+
+    def _may_retry(self, task: _runs.TaskRun, end: calls.CallResult) -> bool:
+        if self._clock.now() >= task.deadline_at or task.run.is_cancelled:
+            return False
+        if end.outcome.proves_not_started:
+            return task.tries < 4 * MAX_ATTEMPTS
+        if not task.spec.is_idempotent or task.tries >= MAX_ATTEMPTS:
+            return False
+        return self._budget.spend()
+
+    def _on_deadline(self, task: _runs.TaskRun) -> None:
+        if task.is_over:
             return
-        if task.waiting is not None:
-            self._slots.cancel(task.waiting)
-        self._finish(
-            task,
-            jobs.TaskResult(
-                jobs.Outcome.NOT_RUN, detail="no slot before the deadline"
-            ),
+        if task.attempts:
+            # Their own timeout is this very moment.
+            return
+        if task.bad_end is not None:
+            self._finish(task, _runs.bad_result(task.number, task.bad_end))
+        else:
+            self._give_up(task, "no slot before the deadline")
+
+    def _give_up(self, task: _runs.TaskRun, detail: str) -> None:
+        record = ledger.TaskRecord(
+            task.number, jobs.Outcome.NOT_RUN, "null", detail
         )
+        self._finish(task, record)
+
+    # Answer.
 
-    def _finish(self, task: _TaskRun, result: jobs.TaskResult) -> None:
+    def _finish(self, task: _runs.TaskRun, record: ledger.TaskRecord) -> None:
         if task.result is not None:
             return
-        task.result = result
+        task.result = record
+        self._stop_task(task)
+        task.run.unrecorded.append(record)
+        self._record(task.run)
+
+    def _stop_task(self, task: _runs.TaskRun) -> None:
         if task.timer is not None:
             task.timer.cancel()
-        run = task.run
-        run.unrecorded.append(ledgers.Recorded(task.number, result))
-        self._record(run)
+        if task.waiting is not None:
+            self._slots.cancel(task.waiting)
+            task.waiting = None
+        self._return_grant(task)
+
+    def _return_grant(self, task: _runs.TaskRun) -> None:
+        grant, task.grant = task.grant, None
+        if grant is not None:
+            self._slots.release(grant, slotsource.Use.UNUSED)
 
-    def _record(self, run: _Run) -> None:
-        if run.is_recording or not run.unrecorded:
+    def _record(self, run: _runs.Run) -> None:
+        is_idle = run.epoch and not run.is_recording and run.unrecorded
+        if not is_idle or run.is_abandoned:
             return
         batch, run.unrecorded = run.unrecorded, []
         run.is_recording = True
-        self._ledger.record(
+        run.book.record(
             run.submission.job,
             run.epoch,
             batch,
-            lambda kept: self._on_recorded(run, batch, kept),
+            lambda reply: self._on_recorded(run, batch, reply),
+        )
+
+    def _watch_recording(self, run: _runs.Run) -> None:
+        limit = max(task.deadline_at for task in run.tasks) + ANSWER_GRACE_S
+        run.answer_timer = self._heap.call_at(
+            limit, lambda: self._answer_unknown(run)
         )
 
     def _on_recorded(
-        self, run: _Run, batch: list[ledgers.Recorded], kept: bool
+        self,
+        run: _runs.Run,
+        batch: list[ledger.TaskRecord],
+        reply: ledger.JobReply | None,
     ) -> None:
         run.is_recording = False
-        for recorded in batch:
-            run.tasks[recorded.task].is_recorded = kept
-        self._record(run)
-        if all(task.is_recorded for task in run.tasks):
-            self._answer(run)
-
-    def _answer(self, run: _Run) -> None:
-        if run.is_answered:
+        if reply is None:
+            run.unrecorded[:0] = batch
+            self._record(run)
+        elif reply.verdict is Verdict.FINISHED:
+            self._answer(run, _runs.answer_of(reply))
+        elif reply.verdict is Verdict.SYNCED:
+            self._record(run)
+        elif run.never_started:
+            self._answer(run, _runs.not_run_answer(run))
+        else:
+            self._abandon(run)
+
+    def _answer(self, run: _runs.Run, answer: jobs.Answer) -> None:
+        self._drop(run)
+        if isinstance(run.book, ledgers.MemoryLedger):
+            run.book.forget(run.submission.job)
+        self.counts[f"answered_{answer.outcome.value}"] += 1
+        waiters, run.waiters = run.waiters, []
+        for waiter in waiters:
+            waiter.done(answer)
+
+    def _answer_unknown(self, run: _runs.Run) -> None:
+        waiters, run.waiters = run.waiters, []
+        for waiter in waiters:
+            waiter.problem(
+                errors.OutcomeUnknown(
+                    "the results could not be recorded in time",
+                    retry_after_s=RETRY_AFTER_S,
+                )
+            )
+
+    def _abandon(self, run: _runs.Run) -> None:
+        """Leave a run to the instance that adopted it."""
+        if run.is_abandoned:
             return
-        run.is_answered = True
-        results = [typing.cast(jobs.TaskResult, t.result) for t in run.tasks]
-        answer = jobs.conclude(run.submission.job, results)
-        if answer.outcome is jobs.Outcome.NOT_RUN:
-            answer = answer._replace(retry_after_s=RETRY_AFTER_S)
-        del self._runs[run.submission.job]
-        for waiter in run.waiters:
-            waiter(answer)
+        run.is_abandoned = True
+        self.counts["abandoned"] += 1
+        self._drop(run)
+        waiters, run.waiters = run.waiters, []
+        for waiter in waiters:
+            self._watch(run.submission, waiter)
+
+    def _drop(self, run: _runs.Run) -> None:
+        run.is_dropped = True
+        if self._runs.get(run.submission.job) is run:
+            del self._runs[run.submission.job]
+        if run.answer_timer is not None:
+            run.answer_timer.cancel()
+        for task in run.tasks:
+            self._stop_task(task)
+
+
+_SUSPICIOUS = {
+    calls.CallOutcome.TIMED_OUT,
+    calls.CallOutcome.LOST,
+    calls.CallOutcome.GARBLED,
+}
+
+
+def _need(task: _runs.TaskRun) -> slotsource.Need:
+    team = task.run.submission.team
+    return slotsource.Need(task.spec.service, team, task.spec.urgency)
+
+
+def _kind(task: _runs.TaskRun) -> tuple[str, str]:
+    return (task.spec.service, task.run.submission.team)
 
 
-def _bad_result(done: calls.CallResult) -> jobs.TaskResult:
-    outcome = jobs.Outcome.UNKNOWN
-    if done.outcome is calls.CallOutcome.FAILED:
-        outcome = jobs.Outcome.FAILED
-    elif done.outcome.proves_not_started:
-        outcome = jobs.Outcome.NOT_RUN
-    return jobs.TaskResult(outcome, detail=done.detail or "the task failed")
+def _use(outcome: calls.CallOutcome) -> slotsource.Use:
+    if outcome is calls.CallOutcome.ANSWERED:
+        return slotsource.Use.GOOD
+    if outcome is calls.CallOutcome.REFUSED:
+        return slotsource.Use.REFUSED
+    return slotsource.Use.BAD
--- /dev/null
+++ b/chervilwheel/replica.py
@@ -0,0 +1,803 @@
+"""Replicate a log among a few voters: terms, votes, quorum, snapshots.
+
+The module decides only. Whoever drives it hands in messages and time,
+takes the actions, makes the saved part durable before it sends the late
+messages, and says so with :meth:`Replica.synced`.
+"""
+
+import dataclasses
+import enum
+import random
+import typing
+
+from chervilwheel import _replicalog
+from chervilwheel import errors
+from chervilwheel import ids
+
+CHUNK_BYTES = 262_144
+JOIN_S = 0.5
+RELUCTANCE = 3.0
+
+Entry = _replicalog.Entry
+EntryKind = _replicalog.EntryKind
+GroupConfig = _replicalog.GroupConfig
+Member = _replicalog.Member
+Snapshot = _replicalog.Snapshot
+
+
+class Role(enum.Enum):
+    """What a replica does in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Timing(typing.NamedTuple):
+    """Times of a group, seconds."""
+
+    heartbeat_s: float = 0.1
+    election_s: float = 1.0
+
+
+class VoteRequest(typing.NamedTuple):
+    """Ask for a vote, or whether one would be given (``is_pre``)."""
+
+    group: str
+    to: Member
+    sender: Member
+    term: int
+    last_index: int
+    last_term: int
+    is_pre: bool
+    is_transfer: bool
+
+
+class VoteReply(typing.NamedTuple):
+    """Answer to a vote request."""
+
+    group: str
+    to: Member
+    sender: Member
+    term: int
+    is_granted: bool
+    is_pre: bool
+
+
+class AppendRequest(typing.NamedTuple):
+    """Entries after ``prev_index``; without entries a heartbeat."""
+
+    group: str
+    to: Member
+    sender: Member
+    term: int
+    prev_index: int
+    prev_term: int
+    commit: int
+    entries: tuple[Entry, ...]
+
+
+class AppendReply(typing.NamedTuple):
+    """How far the sender's durable log matches the leader's.
+
+    When refused, ``index`` is where the leader should go on.
+    """
+
+    group: str
+    to: Member
+    sender: Member
+    term: int
+    is_accepted: bool
+    index: int
+
+
+class SnapshotChunk(typing.NamedTuple):
+    """A part of a snapshot, for a replica that lags behind the log."""
+
+    group: str
+    to: Member
+    sender: Member
+    term: int
+    last_index: int
+    last_term: int
+    config: GroupConfig
+    offset: int
+    data: bytes
+    is_last: bool
+
+
+class JoinRequest(typing.NamedTuple):
+    """A replica outside the config asks to be taken in."""
+
+    group: str
+    sender: Member
+
+
+class Campaign(typing.NamedTuple):
+    """The leader asks a follower to stand for election at once."""
+
+    group: str
+    to: Member
+    sender: Member
+    term: int
+
+
+Message = (
+    VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotChunk
+    | JoinRequest
+    | Campaign
+)
+
+
+class Send(typing.NamedTuple):
+    """A message for an instance."""
+
+    to: ids.InstanceId
+    message: Message
+
+
+class Restored(typing.NamedTuple):
+    """What the disk holds of a replica."""
+
+    term: int
+    vote: str
+    snapshot: Snapshot
+    entries: tuple[Entry, ...]
+
+
+@dataclasses.dataclass(kw_only=True)
+class Actions:
+    """What the driver has to do, in the order of the fields.
+
+    ``early`` may be sent before anything is durable. ``hard_state``,
+    ``install`` and ``entries`` are saved and synced; only then ``late``
+    is sent. ``committed`` entries are applied in order.
+    """
+
+    early: list[Send] = dataclasses.field(default_factory=list)
+    hard_state: tuple[int, str] | None = None
+    install: Snapshot | None = None
+    entries: list[Entry] = dataclasses.field(default_factory=list)
+    late: list[Send] = dataclasses.field(default_factory=list)
+    committed: list[Entry] = dataclasses.field(default_factory=list)
+
+    @property
+    def needs_sync(self) -> bool:
+        """Whether something must be made durable."""
+        return bool(
+            self.hard_state is not None
+            or self.install is not None
+            or self.entries
+        )
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is nothing to do."""
+        return not (
+            self.needs_sync or self.early or self.late or self.committed
+        )
+
+
+class _Progress:
+    """What the leader knows of another member."""
+
+    __slots__ = ("match", "next", "heard_at", "snapshot_offset")
+
+    def __init__(self, *, next_index: int, now: float) -> None:
+        self.match = 0
+        self.next = next_index
+        self.heard_at = now
+        self.snapshot_offset = -1
+
+
+class Replica:
+    """One member of one group.
+
+    :param group: the group's name
+    :param me: this member
+    :param restored: what its disk holds
+    :param peers: instances to ask when it isn't in the config
+    :param rng: the source of chance for election times
+    :param now: monotonic time, seconds
+    :param timing: times of the group
+    :param is_reluctant: whether it leads only when no other can
+    """
+
+    def __init__(
+        self,
+        *,
+        group: str,
+        me: Member,
+        restored: Restored,
+        peers: typing.Sequence[ids.InstanceId],
+        rng: random.Random,
+        now: float,
+        timing: Timing,
+        is_reluctant: bool = False,
+    ) -> None:
+        self.group = group
+        self.me = me
+        self.term = restored.term
+        self.vote = restored.vote
+        self.role = Role.FOLLOWER
+        self.leader: Member | None = None
+        self.commit = restored.snapshot.index
+        self.log = _replicalog.ReplicaLog(
+            snapshot=restored.snapshot, entries=restored.entries
+        )
+        self._peers = tuple(peers)
+        self._rng = rng
+        self._timing = timing
+        self._is_reluctant = is_reluctant
+        self._handed_out = self.commit
+        self._durable = self.log.last_index
+        self._votes: set[Member] = set()
+        self._progress: dict[Member, _Progress] = {}
+        self._heard_leader_at = now - timing.election_s
+        self._incoming = bytearray()
+        self._incoming_from: tuple[int, int] = (0, 0)
+        self._joins_at = now
+        self._beats_at = now
+        self._is_transfer = False
+        self._actions = Actions()
+        self._config_index, self.config = self.log.config()
+        self._reset_election(now)
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this member's promises count."""
+        return self.me in self.config.voters
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether it leads its group in its term."""
+        return self.role is Role.LEADER
+
+    def take(self) -> Actions:
+        """Hand out what has to be done, once."""
+        actions = self._actions
+        self._actions = Actions()
+        if self._handed_out < self.commit:
+            first = self._handed_out + 1
+            actions.committed = self.log.between(first, self.commit)
+            self._handed_out = self.commit
+        return actions
+
+    def synced(self, now: float) -> None:
+        """Learn that all that was handed out to save is durable."""
+        self._durable = self.log.last_index
+        if self.role is Role.CANDIDATE and self.vote == _key(self.me):
+            self._count_vote(self.me, now)
+        if self.is_leader:
+            self._advance_commit()
+
+    def propose(self, commands: typing.Sequence[bytes], now: float) -> int:
+        """Append commands to the log.
+
+        :returns: the index of the last one
+        :raises errors.NotLeader: when this member doesn't lead
+        """
+        self._require_leader()
+        for data in commands:
+            self._append(EntryKind.COMMAND, data=data)
+        self._broadcast(now)
+        return self.log.last_index
+
+    def change_config(self, config: GroupConfig, now: float) -> None:
+        """Propose a config that differs by one voter at most.
+
+        :raises errors.NotLeader: when this member doesn't lead
+        :raises errors.Conflict: when an earlier change is under way or
+            this one changes more than one voter
+        """
+        self._require_leader()
+        changed = set(config.voters) ^ set(self.config.voters)
+        if len(changed) > 1:
+            raise errors.Conflict("one voter at a time")
+        if not self._may_change_config():
+            raise errors.Conflict("an earlier change is not committed")
+        self._append(EntryKind.CONFIG, config=config)
+        self._broadcast(now)
+
+    def compact(self, data: bytes, index: int) -> Snapshot:
+        """Begin the log after an applied entry.
+
+        :param data: the state after that entry
+        :returns: the snapshot, for the driver to save
+        """
+        term = self.log.term_at(index)
+        if term is None or index > self._handed_out:
+            raise errors.Conflict("that entry is not applied")
+        config = self.log.snapshot.config
+        for entry in self.log.between(self.log.snapshot.index + 1, index):
+            if entry.kind is EntryKind.CONFIG:
+                config = entry.config
+        snapshot = Snapshot(index, term, config, data)
+        self.log.compact(snapshot)
+        return snapshot
+
+    def resign(self, now: float) -> None:
+        """Hand leadership to the member that is furthest, if there is one."""
+        if not self.is_leader:
+            return
+        self._transfer(list(self.config.voters), now)
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+        if self.is_leader:
+            self._tick_leader(now)
+        elif not self.is_voter:
+            self._ask_to_join(now)
+        elif now >= self._election_at:
+            self._campaign(now, is_pre=True)
+
+    def receive(self, message: Message, now: float) -> None:
+        """Take a message in; those for a former disk are dropped."""
+        if isinstance(message, JoinRequest):
+            self._on_join(message, now)
+            return
+        if message.to != self.me:
+            return
+        is_pre_vote = (
+            isinstance(message, VoteRequest | VoteReply) and message.is_pre
+        )
+        if message.term > self.term and not is_pre_vote:
+            if isinstance(message, VoteRequest) and self._is_led(message, now):
+                return
+            self._follow(message.term, None, now)
+        handlers: dict[type, typing.Callable[..., None]] = {
+            VoteRequest: self._on_vote_request,
+            VoteReply: self._on_vote_reply,
+            AppendRequest: self._on_append,
+            AppendReply: self._on_append_reply,
+            SnapshotChunk: self._on_snapshot,
+            Campaign: self._on_campaign,
+        }
+        handlers[type(message)](message, now)
+
+    def _require_leader(self) -> None:
+        if not self.is_leader:
+            leader = self.leader.name if self.leader else ""
+            raise errors.NotLeader(
+                f"{self.group}: not led here", leader=leader
+            )
+
+    # Elections.
+
+    def _reset_election(self, now: float) -> None:
+        base = self._timing.election_s
+        if self._is_reluctant:
+            base *= RELUCTANCE
+        self._election_at = now + self._rng.uniform(base, 2 * base)
+
+    def _is_led(self, message: VoteRequest, now: float) -> bool:
+        if message.is_transfer:
+            return False
+        if self.is_leader:
+            return True
+        age = now - self._heard_leader_at
+        return age < self._timing.election_s
+
+    def _campaign(
+        self, now: float, *, is_pre: bool, is_transfer: bool = False
+    ) -> None:
+        self._reset_election(now)
+        self.leader = None
+        self._votes = set()
+        if is_pre:
+            self.role = Role.PRE_CANDIDATE
+        else:
+            self.role = Role.CANDIDATE
+            self.term += 1
+            self._cast_vote(_key(self.me))
+        self._is_transfer = is_transfer
+        term = self.term + 1 if is_pre else self.term
+        for member in self.config.voters:
+            if member == self.me:
+                continue
+            request = VoteRequest(
+                group=self.group,
+                to=member,
+                sender=self.me,
+                term=term,
+                last_index=self.log.last_index,
+                last_term=self.log.last_term,
+                is_pre=is_pre,
+                is_transfer=is_transfer,
+            )
+            self._late(request)
+        if is_pre:
+            self._count_vote(self.me, now)
+
+    def _cast_vote(self, vote: str) -> None:
+        self.vote = vote
+        self._actions.hard_state = (self.term, self.vote)
+
+    def _on_vote_request(self, message: VoteRequest, now: float) -> None:
+        granted = self._would_vote(message, now)
+        if granted and not message.is_pre:
+            self._cast_vote(_key(message.sender))
+            self._reset_election(now)
+        # A refused pre-vote carries this member's own term, so that a
+        # candidate behind the times catches up.
+        term = message.term if message.is_pre and granted else self.term
+        reply = VoteReply(
+            group=self.group,
+            to=message.sender,
+            sender=self.me,
+            term=term,
+            is_granted=granted,
+            is_pre=message.is_pre,
+        )
+        self._late(reply)
+
+    def _would_vote(self, message: VoteRequest, now: float) -> bool:
+        if not self.is_voter or message.sender not in self.config.voters:
+            return False
+        if message.term < self.term or self._is_led(message, now):
+            return False
+        theirs = (message.last_term, message.last_index)
+        if theirs < (self.log.last_term, self.log.last_index):
+            return False
+        if message.is_pre:
+            return message.term > self.term
+        return self.vote in ("", _key(message.sender))
+
+    def _on_vote_reply(self, message: VoteReply, now: float) -> None:
+        if message.is_pre:
+            wanted = Role.PRE_CANDIDATE, self.term + 1
+            if not message.is_granted and message.term > self.term:
+                self._follow(message.term, None, now)
+                return
+        else:
+            wanted = Role.CANDIDATE, self.term
+        if message.is_granted and wanted == (self.role, message.term):
+            self._count_vote(message.sender, now)
+
+    def _count_vote(self, voter: Member, now: float) -> None:
+        self._votes.add(voter)
+        if not self._is_quorum(self._votes):
+            return
+        if self.role is Role.PRE_CANDIDATE:
+            self._campaign(now, is_pre=False)
+        elif self.role is Role.CANDIDATE:
+            self._lead(now)
+
+    def _is_quorum(self, members: typing.Collection[Member]) -> bool:
+        voters = self.config.voters
+        count = sum(member in members for member in voters)
+        return count * 2 > len(voters)
+
+    def _lead(self, now: float) -> None:
+        self.role = Role.LEADER
+        self.leader = self.me
+        self._progress = {}
+        self._append(EntryKind.NOOP)
+        self._refresh_progress(now)
+        self._broadcast(now)
+
+    def _follow(self, term: int, leader: Member | None, now: float) -> None:
+        if term > self.term:
+            self.term = term
+            self._cast_vote("")
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._reset_election(now)
+
+    def _on_campaign(self, message: Campaign, now: float) -> None:
+        is_current = message.term == self.term
+        if is_current and self.is_voter and not self.is_leader:
+            self._campaign(now, is_pre=False, is_transfer=True)
+
+    # Leading.
+
+    def _append(
+        self,
+        kind: EntryKind,
+        *,
+        data: bytes = b"",
+        config: GroupConfig | None = None,
+    ) -> None:
+        entry = Entry(
+            index=self.log.last_index + 1,
+            term=self.term,
+            kind=kind,
+            data=data,
+            config=config or GroupConfig(()),
+        )
+        self._store(entry)
+
+    def _store(self, entry: Entry) -> None:
+        if entry.index <= self.commit:
+            raise errors.ProtocolError("a committed entry would change")
+        self.log.append(entry)
+        self._durable = min(self._durable, entry.index - 1)
+        pending = self._actions.entries
+        while pending and pending[-1].index >= entry.index:
+            pending.pop()
+        pending.append(entry)
+        was_config = self._config_index >= entry.index
+        if entry.kind is EntryKind.CONFIG or was_config:
+            self._config_index, self.config = self.log.config()
+
+    def _refresh_progress(self, now: float) -> None:
+        members = [m for m in self.config.members if m != self.me]
+        for member in members:
+            if member not in self._progress:
+                self._progress[member] = _Progress(
+                    next_index=self.log.last_index, now=now
+                )
+        for member in list(self._progress):
+            if member not in members:
+                del self._progress[member]
+
+    def _broadcast(self, now: float) -> None:
+        self._refresh_progress(now)
+        for member, progress in self._progress.items():
+            self._send_entries(member, progress)
+        self._beats_at = now + self._timing.heartbeat_s
+
+    def _send_entries(self, member: Member, progress: _Progress) -> None:
+        if progress.next <= self.log.snapshot.index:
+            if progress.snapshot_offset < 0:
+                progress.snapshot_offset = 0
+            self._send_chunk(member, progress)
+            return
+        progress.snapshot_offset = -1
+        prev = progress.next - 1
+        entries = self.log.batch(progress.next)
+        request = AppendRequest(
+            group=self.group,
+            to=member,
+            sender=self.me,
+            term=self.term,
+            prev_index=prev,
+            prev_term=self.log.term_at(prev) or 0,
+            commit=self.commit,
+            entries=entries,
+        )
+        progress.next += len(entries)
+        self._early(request)
+
+    def _send_chunk(self, member: Member, progress: _Progress) -> None:
+        snapshot = self.log.snapshot
+        offset = min(progress.snapshot_offset, len(snapshot.data))
+        data = snapshot.data[offset : offset + CHUNK_BYTES]
+        chunk = SnapshotChunk(
+            group=self.group,
+            to=member,
+            sender=self.me,
+            term=self.term,
+            last_index=snapshot.index,
+            last_term=snapshot.term,
+            config=snapshot.config,
+            offset=offset,
+            data=data,
+            is_last=offset + len(data) == len(snapshot.data),
+        )
+        self._early(chunk)
+
+    def _on_append_reply(self, message: AppendReply, now: float) -> None:
+        progress = self._progress.get(message.sender)
+        if not self.is_leader or message.term != self.term or progress is None:
+            return
+        progress.heard_at = now
+        if progress.snapshot_offset >= 0:
+            self._on_chunk_reply(message, progress)
+            return
+        if not message.is_accepted:
+            hint = min(message.index, progress.next - 1)
+            progress.next = max(progress.match + 1, hint)
+            self._send_entries(message.sender, progress)
+            return
+        progress.match = max(progress.match, message.index)
+        progress.next = max(progress.next, progress.match + 1)
+        self._advance_commit()
+        if progress.next <= self.log.last_index:
+            self._send_entries(message.sender, progress)
+        self._tend_learner(message.sender, progress, now)
+
+    def _on_chunk_reply(
+        self, message: AppendReply, progress: _Progress
+    ) -> None:
+        if message.is_accepted:
+            progress.snapshot_offset = -1
+            progress.match = max(progress.match, message.index)
+            progress.next = max(progress.match + 1, 1)
+        else:
+            progress.snapshot_offset = message.index
+        self._send_entries(message.sender, progress)
+
+    def _advance_commit(self) -> None:
+        matches = []
+        for member in self.config.voters:
+            if member == self.me:
+                matches.append(self._durable)
+            else:
+                progress = self._progress.get(member)
+                matches.append(progress.match if progress else 0)
+        if not matches:
+            return
+        matches.sort(reverse=True)
+        agreed = matches[len(matches) // 2]
+        if agreed > self.commit and self.log.term_at(agreed) == self.term:
+            self.commit = agreed
+            self._after_commit()
+
+    def _after_commit(self) -> None:
+        if not self.is_voter and self._config_index <= self.commit:
+            self.role = Role.FOLLOWER
+            self.leader = None
+
+    def _tick_leader(self, now: float) -> None:
+        recent = {self.me}
+        for member, progress in self._progress.items():
+            if now - progress.heard_at < self._timing.election_s:
+                recent.add(member)
+        if not self._is_quorum(recent):
+            self._follow(self.term, None, now)
+            return
+        if now < self._beats_at:
+            return
+        self._broadcast(now)
+        if self._is_reluctant:
+            self._transfer([m for m in self.config.voters if m in recent], now)
+
+    def _transfer(
+        self, candidates: typing.Sequence[Member], now: float
+    ) -> None:
+        ready = [
+            member
+            for member in candidates
+            if member in self._progress
+            and self._progress[member].match == self.log.last_index
+        ]
+        if ready:
+            target = max(ready, key=lambda m: self._progress[m].heard_at)
+            self._early(Campaign(self.group, target, self.me, self.term))
+
+    # Membership.
+
+    def _may_change_config(self) -> bool:
+        return (
+            self._config_index <= self.commit
+            and self.log.term_at(self.commit) == self.term
+        )
+
+    def _ask_to_join(self, now: float) -> None:
+        if now < self._joins_at:
+            return
+        self._joins_at = now + JOIN_S
+        names = set(self._peers)
+        names.update(member.name for member in self.config.members)
+        names.discard(self.me.name)
+        for name in sorted(names):
+            self._actions.early.append(
+                Send(name, JoinRequest(self.group, self.me))
+            )
+
+    def _on_join(self, message: JoinRequest, now: float) -> None:
+        if not self.is_leader or not self._may_change_config():
+            return
+        config = self.config
+        if message.sender in config.members:
+            return
+        former = [
+            member
+            for member in config.members
+            if member.name == message.sender.name
+        ]
+        voters = tuple(m for m in config.voters if m not in former)
+        learners = tuple(m for m in config.learners if m not in former)
+        if not former:
+            learners += (message.sender,)
+        if not voters:
+            return
+        self.change_config(GroupConfig(voters, learners), now)
+
+    def _tend_learner(
+        self, member: Member, progress: _Progress, now: float
+    ) -> None:
+        config = self.config
+        if member not in config.learners or not self._may_change_config():
+            return
+        if progress.match < self.commit:
+            return
+        learners = tuple(m for m in config.learners if m != member)
+        voters = (*config.voters, member)
+        self.change_config(GroupConfig(voters, learners), now)
+
+    # Following.
+
+    def _on_append(self, message: AppendRequest, now: float) -> None:
+        if message.term < self.term:
+            self._reply_append(message.sender, False, 0)
+            return
+        self._follow(message.term, message.sender, now)
+        self._heard_leader_at = now
+        prev = message.prev_index
+        if prev < self.log.snapshot.index:
+            # All up to the snapshot is committed, so it matches.
+            self._reply_append(message.sender, True, self.log.snapshot.index)
+            return
+        if self.log.term_at(prev) != message.prev_term:
+            self._reply_append(message.sender, False, self._hint(prev))
+            return
+        for entry in message.entries:
+            if self.log.term_at(entry.index) != entry.term:
+                self._store(entry)
+        last = prev + len(message.entries)
+        self.commit = max(self.commit, min(message.commit, last))
+        self._reply_append(message.sender, True, last)
+
+    def _hint(self, prev: int) -> int:
+        if prev > self.log.last_index:
+            return self.log.last_index + 1
+        term = self.log.term_at(prev)
+        floor = max(self.log.snapshot.index, self.commit) + 1
+        index = prev
+        while index > floor and self.log.term_at(index - 1) == term:
+            index -= 1
+        return max(index, floor)
+
+    def _reply_append(self, to: Member, accepted: bool, index: int) -> None:
+        reply = AppendReply(
+            group=self.group,
+            to=to,
+            sender=self.me,
+            term=self.term,
+            is_accepted=accepted,
+            index=index,
+        )
+        self._late(reply)
+
+    def _on_snapshot(self, message: SnapshotChunk, now: float) -> None:
+        if message.term < self.term:
+            self._reply_append(message.sender, False, 0)
+            return
+        self._follow(message.term, message.sender, now)
+        self._heard_leader_at = now
+        if message.last_index <= self.commit:
+            self._reply_append(message.sender, True, self.commit)
+            return
+        source = (message.last_index, message.last_term)
+        if message.offset == 0 or source != self._incoming_from:
+            self._incoming = bytearray()
+            self._incoming_from = source
+        if message.offset == len(self._incoming):
+            self._incoming += message.data
+            if message.is_last:
+                self._install(message)
+                self._reply_append(message.sender, True, message.last_index)
+                return
+        self._reply_append(message.sender, False, len(self._incoming))
+
+    def _install(self, message: SnapshotChunk) -> None:
+        snapshot = Snapshot(
+            message.last_index,
+            message.last_term,
+            message.config,
+            bytes(self._incoming),
+        )
+        self._incoming = bytearray()
+        self.log.restart(snapshot)
+        self._actions.entries = []
+        self._actions.install = snapshot
+        self._actions.committed = []
+        self.commit = self._handed_out = snapshot.index
+        self._config_index, self.config = self.log.config()
+
+    def _early(self, message: typing.Any) -> None:
+        self._actions.early.append(Send(message.to.name, message))
+
+    def _late(self, message: typing.Any) -> None:
+        self._actions.late.append(Send(message.to.name, message))
+
+
+def _key(member: Member) -> str:
+    return f"{member.name}/{member.disk}"
--- /dev/null
+++ b/chervilwheel/schema/peer.capnp
@@ -0,0 +1,214 @@
+@0xd3a1f0c2b4e59687;
+# Messages between instances. Field names match the typed messages of
+# chervilwheel/messages.py.
+
+struct Member { name @0 :Text; disk @1 :Text; }
+
+struct GroupConfig {
+  voters @0 :List(Member);
+  learners @1 :List(Member);
+}
+
+struct Entry {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  kind @2 :Text;
+  data @3 :Data;
+  config @4 :GroupConfig;
+}
+
+struct VoteRequest {
+  group @0 :Text;
+  to @1 :Member;
+  sender @2 :Member;
+  term @3 :UInt64;
+  lastIndex @4 :UInt64;
+  lastTerm @5 :UInt64;
+  isPre @6 :Bool;
+  isTransfer @7 :Bool;
+}
+
+struct VoteReply {
+  group @0 :Text;
+  to @1 :Member;
+  sender @2 :Member;
+  term @3 :UInt64;
+  isGranted @4 :Bool;
+  isPre @5 :Bool;
+}
+
+struct AppendRequest {
+  group @0 :Text;
+  to @1 :Member;
+  sender @2 :Member;
+  term @3 :UInt64;
+  prevIndex @4 :UInt64;
+  prevTerm @5 :UInt64;
+  commit @6 :UInt64;
+  entries @7 :List(Entry);
+}
+
+struct AppendReply {
+  group @0 :Text;
+  to @1 :Member;
+  sender @2 :Member;
+  term @3 :UInt64;
+  isAccepted @4 :Bool;
+  index @5 :UInt64;
+}
+
+struct SnapshotChunk {
+  group @0 :Text;
+  to @1 :Member;
+  sender @2 :Member;
+  term @3 :UInt64;
+  lastIndex @4 :UInt64;
+  lastTerm @5 :UInt64;
+  config @6 :GroupConfig;
+  offset @7 :UInt64;
+  data @8 :Data;
+  isLast @9 :Bool;
+}
+
+struct JoinRequest { group @0 :Text; sender @1 :Member; }
+
+struct Campaign {
+  group @0 :Text;
+  to @1 :Member;
+  sender @2 :Member;
+  term @3 :UInt64;
+}
+
+struct Challenge { nonce @0 :Data; }
+
+struct Hello {
+  instance @0 :Text;
+  nonce @1 :Data;
+  proof @2 :Data;
+}
+
+struct Welcome { instance @0 :Text; proof @1 :Data; }
+
+struct Heartbeat { sequence @0 :UInt64; isReply @1 :Bool; }
+
+struct GroupRequest {
+  number @0 :UInt64;
+  group @1 :Text;
+  commands @2 :List(Data);
+}
+
+struct GroupReply {
+  number @0 :UInt64;
+  group @1 :Text;
+  status @2 :Text;
+  leader @3 :Text;
+  results @4 :List(Data);
+}
+
+struct WatchRequest {
+  number @0 :UInt64;
+  group @1 :Text;
+  job @2 :Text;
+}
+
+struct SettingsPull { revision @0 :UInt64; digest @1 :Data; }
+
+struct SettingsPush {
+  revision @0 :UInt64;
+  isWhole @1 :Bool;
+  documents @2 :List(Document);
+  digest @3 :Data;
+}
+
+struct Document {
+  path @0 :Text;
+  text @1 :Text;
+  revision @2 :UInt64;
+  isDeleted @3 :Bool;
+}
+
+struct Announcement {
+  endpoint @0 :Text;
+  service @1 :Text;
+  zone @2 :Text;
+  host @3 :Text;
+  port @4 :UInt16;
+  slots @5 :UInt32;
+  connections @6 :UInt32;
+  kind @7 :Text;
+  rack @8 :Text;
+  processors @9 :Float64;
+  memoryMb @10 :UInt64;
+  accelerators @11 :UInt32;
+  busy @12 :UInt32;
+  version @13 :UInt64;
+  leaseS @14 :Float64;
+  isLeaving @15 :Bool;
+  ageS @16 :Float64;
+}
+
+struct EndpointNews { announcements @0 :List(Announcement); }
+
+struct Want {
+  team @0 :Text;
+  urgency @1 :Text;
+  count @2 :UInt32;
+  deadlineInS @3 :Float64;
+}
+
+struct Hold { endpoint @0 :Text; count @1 :UInt32; }
+
+struct SlotReport {
+  service @0 :Text;
+  zone @1 :Text;
+  epoch @2 :Text;
+  sequence @3 :UInt64;
+  seenGrant @4 :UInt64;
+  isFull @5 :Bool;
+  wants @6 :List(Want);
+  holds @7 :List(Hold);
+  suspects @8 :List(Text);
+}
+
+struct SlotGrant {
+  team @0 :Text;
+  urgency @1 :Text;
+  endpoint @2 :Text;
+  count @3 :UInt32;
+}
+
+struct SlotGrants {
+  service @0 :Text;
+  zone @1 :Text;
+  epoch @2 :Text;
+  number @3 :UInt64;
+  seenReport @4 :UInt64;
+  grants @5 :List(SlotGrant);
+  free @6 :Int32;
+  waiting @7 :UInt32;
+  needsFull @8 :Bool;
+}
+
+struct Peer {
+  union {
+    voteRequest @0 :VoteRequest;
+    voteReply @1 :VoteReply;
+    appendRequest @2 :AppendRequest;
+    appendReply @3 :AppendReply;
+    snapshotChunk @4 :SnapshotChunk;
+    joinRequest @5 :JoinRequest;
+    campaign @6 :Campaign;
+    challenge @7 :Challenge;
+    hello @8 :Hello;
+    welcome @9 :Welcome;
+    heartbeat @10 :Heartbeat;
+    groupRequest @11 :GroupRequest;
+    groupReply @12 :GroupReply;
+    watchRequest @13 :WatchRequest;
+    settingsPull @14 :SettingsPull;
+    settingsPush @15 :SettingsPush;
+    endpointNews @16 :EndpointNews;
+    slotReport @17 :SlotReport;
+    slotGrants @18 :SlotGrants;
+  }
+}
--- a/chervilwheel/slotsource.py
+++ b/chervilwheel/slotsource.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections
+import enum
 import itertools
 import random
 import typing
@@ -20,6 +21,15 @@
     urgency: jobs.Urgency
 
 
+class Use(enum.Enum):
+    """How a granted slot was used."""
+
+    GOOD = "good"
+    BAD = "bad"
+    REFUSED = "refused"
+    UNUSED = "unused"
+
+
 class Grant(typing.NamedTuple):
     """Leave to run one task on an endpoint."""
 
@@ -65,8 +75,12 @@
         """Stop waiting; nothing happens when it was granted already."""
 
     @abc.abstractmethod
-    def release(self, grant: Grant, *, was_refused: bool) -> None:
-        """Give a slot back after use, or after the endpoint refused."""
+    def release(self, grant: Grant, use: Use) -> None:
+        """Give a slot back and say how it was used."""
+
+    @abc.abstractmethod
+    def mark_slow(self, grant: Grant) -> None:
+        """Note that a slot's task takes much longer than its like."""
 
     @abc.abstractmethod
     def free_hint(self, need: Need) -> int:
@@ -170,11 +184,14 @@
         """Mark a task as gone; the queue skips it later."""
         waiting.is_done = True
 
-    def release(self, grant: Grant, *, was_refused: bool) -> None:
+    def release(self, grant: Grant, use: Use) -> None:
         """Take a slot back and serve the queue."""
         self._used[grant.endpoint.endpoint] -= 1
         self.serve()
 
+    def mark_slow(self, grant: Grant) -> None:
+        """Take no notice: the baseline doesn't judge endpoints."""
+
     def free_hint(self, need: Need) -> int:
         """Count the slots that this instance doesn't use itself."""
         offered = self._known.offering(need.service, now=self._clock.now())
