Share slots through one owner a zone; membership, drain, load tool

Cause: each instance chose endpoints by its own view, and there was no tool to judge a run by the endpoints' own records.

Ruled out: an owner for each endpoint (a want would go to many owners and quotas of a team would need one more party). Chosen: one entry instance of a zone, by rendezvous hash over the living, owns all slots of the zone; wants, releases and grants pass in batches, a full report heals what a broken link lost.

Change: slots, slotclient, zoneowner, outliers, admission, membership over UDP, drain, recovery of orphaned submissions, metrics, rehearsed cuts, load tool with a judge over start records.

--- a/chervilwheel/_runs.py
+++ b/chervilwheel/_runs.py
@@ -103,6 +103,8 @@
     ) -> None:
         self.submission = submission
         self.book = book
+        self.began_at = now
+        self.longest_ms = 0.0
         self.epoch = 0
         self.tasks = [
             TaskRun(run=self, number=number, spec=spec, now=now)
--- a/chervilwheel/api.py
+++ b/chervilwheel/api.py
@@ -11,6 +11,7 @@
 from chervilwheel import gateway
 from chervilwheel import ids
 from chervilwheel import jobs
+from chervilwheel import ledger
 from chervilwheel import pipeline
 from chervilwheel import timers
 
@@ -31,6 +32,7 @@
     :param zone: the zone this instance stands in
     :param runner: the pipeline
     :param heap: timers for long polls
+    :param tell_runner: tells another instance that its run is cancelled
     """
 
     def __init__(
@@ -39,7 +41,9 @@
         zone: ids.ZoneId,
         runner: pipeline.Pipeline,
         heap: timers.TimerHeap,
+        tell_runner: typing.Callable[[ids.InstanceId, ids.JobId], None],
     ) -> None:
+        self._tell_runner = tell_runner
         self._zone = zone
         self._runner = runner
         self._heap = heap
@@ -50,6 +54,8 @@
         return [
             gateway.Route("POST", ("v1", "submissions"), self._mint),
             gateway.Route("POST", ("v1", "jobs"), self._submit),
+            gateway.Route("GET", ("v1", "jobs", "*"), self._fetch),
+            gateway.Route("POST", ("v1", "jobs", "*", "cancel"), self._cancel),
             gateway.Route(
                 "POST", ("v1", "services", "*", "requests"), self._single
             ),
@@ -106,6 +112,43 @@
 
         self._runner.submit(submission, done, problem)
 
+    def _fetch(self, exchange: gateway.Exchange) -> None:
+        job = self._named_job(exchange)
+        wait_s = exchange.number("wait_ms", 0) / 1000
+        self._runner.fetch(
+            job,
+            exchange.who.team,
+            min(wait_s, MAX_WAIT_S),
+            lambda answer: reply_answer(exchange, answer),
+            exchange.fail,
+        )
+
+    def _cancel(self, exchange: gateway.Exchange) -> None:
+        job = self._named_job(exchange)
+
+        def done(reply: ledger.JobReply | None) -> None:
+            if reply is None:
+                exchange.fail(
+                    errors.OutcomeUnknown("the ledger can't be reached")
+                )
+            elif reply.verdict is ledger.Verdict.JOINED:
+                self._tell_runner(reply.runner, job)
+                exchange.reply(202, {"job": job, "outcome": "running"})
+            elif reply.verdict is ledger.Verdict.FINISHED:
+                exchange.reply(200, {"job": job, "outcome": "finished"})
+            else:
+                exchange.fail(errors.NotFound("the submission is not known"))
+
+        self._runner.cancel(job, exchange.who.team, done)
+
+    def _named_job(self, exchange: gateway.Exchange) -> ids.JobId:
+        if not exchange.who.team:
+            raise errors.Forbidden("only a team has jobs")
+        name = exchange.path[2]
+        if name.startswith(ids.BARE_KEY_PREFIX + ":"):
+            return ids.JobId(name)
+        return self._job_id(exchange.who, name)
+
     def _job_id(self, who: auth.Principal, key: str | None) -> ids.JobId:
         if key is None:
             return ids.mint(zone=self._zone, wall_s=self._clock.wall())
--- a/chervilwheel/config.py
+++ b/chervilwheel/config.py
@@ -166,6 +166,24 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Slots:
+    """How endpoints' slots are chosen."""
+
+    placement: str = _opt(
+        "pool",
+        doc="pool: shared by the zone's owner; the others are baselines.",
+        choices=("pool", "random", "round-robin", "two-choices"),
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Rehearsal:
+    """Faults that operators may bring about."""
+
+    enabled: bool = _opt(False, doc="Whether links may be cut on demand.")
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Log:
     """How records are written."""
@@ -193,6 +211,8 @@
     auth: Auth = _checked.section(Auth, doc="Tokens known at start.")
     limits: Limits = _checked.section(Limits, doc="Bounds.")
     storage: Storage = _checked.section(Storage, doc="A keeper's files.")
+    slots: Slots = _checked.section(Slots, doc="Choice of endpoints.")
+    rehearsal: Rehearsal = _checked.section(Rehearsal, doc="Rehearsed faults.")
     log: Log = _checked.section(Log, doc="Logs.")
 
     def founders(self, group: str) -> list[Keeper]:
--- a/chervilwheel/daemon.py
+++ b/chervilwheel/daemon.py
@@ -6,7 +6,6 @@
 import pathlib
 import random
 import secrets
-import signal
 import sys
 import typing
 
@@ -14,34 +13,36 @@
 from circuits.web import servers
 
 from chervilwheel import addresses
-from chervilwheel import admission
-from chervilwheel import api
 from chervilwheel import auth
-from chervilwheel import calls
 from chervilwheel import clock
 from chervilwheel import config
-from chervilwheel import directory
 from chervilwheel import disk
+from chervilwheel import drain
 from chervilwheel import edge
+from chervilwheel import entry
 from chervilwheel import errors
 from chervilwheel import gateway
+from chervilwheel import gossip
 from chervilwheel import groupclient
 from chervilwheel import grouphost
 from chervilwheel import guard
 from chervilwheel import ids
 from chervilwheel import keeper
-from chervilwheel import keeperledger
-from chervilwheel import ledgers
 from chervilwheel import logs
+from chervilwheel import membership
+from chervilwheel import messages
+from chervilwheel import metrics
+from chervilwheel import operatorapi
 from chervilwheel import peers
-from chervilwheel import pipeline
-from chervilwheel import slotsource
+from chervilwheel import rehearsal
 from chervilwheel import streams
+from chervilwheel import teampolicy
 from chervilwheel import timers
 
 _LOG = logging.getLogger("daemon")
 EXIT_OK = 0
 EXIT_SETTINGS = 2
+EXIT_AT_ONCE = 3
 
 
 class Daemon(circuits.Component):
@@ -55,115 +56,204 @@
         super().__init__()
         self._cfg = cfg
         self._stack = contextlib.ExitStack()
-        self.heap = timers.TimerHeap(clk=clk)
-        self.loop = streams.StreamLoop().register(self)
-        timers.TimerLoop(heap=self.heap).register(self)
-        self._stack.callback(self.loop.close)
-        self.boot = secrets.token_hex(4)
-        self.links = peers.Peers(
-            name=ids.InstanceId(cfg.instance.name),
-            key=config.cluster_key(cfg),
-            loop=self.loop,
-            heap=self.heap,
+        self._boot = secrets.token_hex(4)
+        self._name = ids.InstanceId(cfg.instance.name)
+        self._peer_address = addresses.parse(cfg.listen.peer)
+        self._registry = metrics.Registry()
+        self._cuts = rehearsal.Rehearsal(enabled=cfg.rehearsal.enabled)
+        self._heap = timers.TimerHeap(clk=clk)
+        self._loop = streams.StreamLoop().register(self)
+        timers.TimerLoop(heap=self._heap).register(self)
+        self._stack.callback(self._loop.close)
+        self._links = self._open_links()
+        self._view = self._open_view()
+        self._gossip = self._open_gossip()
+        self._client = groupclient.GroupClient(
+            links=self._links,
+            heap=self._heap,
+            groups=entry.keeper_groups(cfg, self._links),
         )
-        self._stack.callback(self.links.close)
-        self.links.listen(addresses.parse(cfg.listen.peer))
-        if config.ROLE_KEEPER in cfg.instance.roles:
-            self._add_keeper()
-        if config.ROLE_ENTRY in cfg.instance.roles:
-            self._add_entry()
-
-    def _add_keeper(self) -> None:
-        limits = self._cfg.storage
-        store = disk.FileDisk(least_sync_s=limits.least_sync_ms / 1000)
-        self._stack.callback(store.close)
-        self.keeper = keeper.Keeper(
-            cfg=self._cfg,
-            links=self.links,
-            heap=self.heap,
-            store=store,
-            machines=_machine,
+        self._keeper = self._open_keeper()
+        self._entry = self._open_entry()
+        self._drain = self._make_drain()
+        self._edge = self._open_web()
+        self._add_metrics()
+
+    def _open_links(self) -> peers.Peers:
+        links = peers.Peers(
+            name=self._name,
+            key=config.cluster_key(self._cfg),
+            loop=self._loop,
+            heap=self._heap,
+            is_cut=self._cuts.is_cut,
         )
+        self._stack.callback(links.close)
+        links.listen(self._peer_address)
+        return links
 
-    def _add_entry(self) -> None:
-        cfg = self._cfg
-        clk = self.heap.clock
-        zone = ids.ZoneId(cfg.instance.zone)
-        known = directory.Directory()
-        caller = calls.Caller(
-            loop=self.loop,
-            heap=self.heap,
-            answer_bytes=cfg.limits.answer_bytes,
+    def _open_view(self) -> membership.Membership:
+        clk = self._heap.clock
+        me = messages.MemberInfo(
+            name=self._name,
+            zone=ids.ZoneId(self._cfg.instance.zone),
+            is_entry=config.ROLE_ENTRY in self._cfg.instance.roles,
+            host=self._peer_address.host,
+            port=self._peer_address.port,
+            boot=self._boot,
+            incarnation=int(clk.wall() * 1000),
+            state=messages.MemberState.ALIVE,
+            is_draining=False,
         )
-        self._stack.callback(caller.close)
-        slots = slotsource.UncoordinatedSlots(
-            known=known,
-            chooser=slotsource.TwoChoicesChooser(rng=random.Random()),
-            clk=clk,
+        return membership.Membership(
+            me=me,
+            seeds=[addresses.parse(s) for s in self._cfg.cluster.seeds],
+            rng=random.Random(),
+            now=clk.now(),
         )
-        runner = ids.InstanceId(f"{cfg.instance.name}#{self.boot}")
-        runs = pipeline.Pipeline(
-            durable=self._ledger(runner, zone),
-            volatile=ledgers.MemoryLedger(runner=runner),
-            slots=slots,
-            caller=caller,
-            heap=self.heap,
-            admission=admission.OpenAdmission(),
+
+    def _open_gossip(self) -> gossip.GossipSocket:
+        carrier = gossip.GossipSocket(
+            view=self._view,
+            address=self._peer_address,
+            key=config.cluster_key(self._cfg),
+            loop=self._loop,
+            heap=self._heap,
+            changed=self._members_changed,
+            is_cut=self._cuts.is_cut,
         )
-        tokens = auth.TokenBook(credentials=_credentials(cfg))
-        job_api = api.JobApi(zone=zone, runner=runs, heap=self.heap)
-        endpoint_api = api.EndpointApi(
-            known=known, announced=lambda _: slots.serve(), clk=clk
+        self._links.on_lost(carrier.suspect)
+        return carrier
+
+    def _open_keeper(self) -> keeper.Keeper | None:
+        if config.ROLE_KEEPER not in self._cfg.instance.roles:
+            return None
+        least_sync_s = self._cfg.storage.least_sync_ms / 1000
+        store = disk.FileDisk(least_sync_s=least_sync_s)
+        self._stack.callback(store.close)
+        return keeper.Keeper(
+            cfg=self._cfg,
+            links=self._links,
+            heap=self._heap,
+            store=store,
+            machines=_machine,
         )
-        routes = job_api.routes() + endpoint_api.routes()
-        router = gateway.Router(routes=routes, tokens=tokens)
-        self._add_web(router)
-
-    def _ledger(
-        self, runner: ids.InstanceId, zone: ids.ZoneId
-    ) -> ledgers.Ledger:
-        cfg = self._cfg
-        if not cfg.cluster.keepers:
-            return ledgers.MemoryLedger(runner=runner)
-        groups: dict[str, list[ids.InstanceId]] = {}
-        for each in cfg.cluster.keepers:
-            name = ids.InstanceId(each.name)
-            self.links.know(name, addresses.parse(each.address))
-            for group in each.groups:
-                groups.setdefault(group, []).append(name)
-        client = groupclient.GroupClient(
-            links=self.links, heap=self.heap, groups=groups
+
+    def _open_entry(self) -> entry.Entry | None:
+        if config.ROLE_ENTRY not in self._cfg.instance.roles:
+            return None
+        return entry.Entry(
+            cfg=self._cfg,
+            boot=self._boot,
+            view=self._view,
+            links=self._links,
+            client=self._client,
+            loop=self._loop,
+            heap=self._heap,
+            policies=lambda team: teampolicy.DEFAULT,
+            registry=self._registry,
+            stack=self._stack,
         )
-        return keeperledger.KeeperLedger(
-            client=client,
-            runner=runner,
-            zone=zone,
-            zones=[ids.ZoneId(each) for each in cfg.cluster.zones],
-            heap=self.heap,
+
+    def _make_drain(self) -> drain.Drain:
+        limits = self._cfg.limits
+        return drain.Drain(
+            heap=self._heap,
+            notice_s=limits.drain_notice_s if self._entry else 0.0,
+            timeout_s=limits.drain_timeout_s,
+            on_notice=self._on_notice,
+            on_refuse=self._on_refuse,
+            in_flight=self._in_flight,
+            on_stopped=self._on_stopped,
         )
 
-    def _add_web(self, router: gateway.Router) -> None:
+    def _open_web(self) -> edge.Edge | None:
+        if not self._cfg.listen.http:
+            return None
+        routes = operatorapi.OperatorApi(
+            registry=self._registry,
+            view=self._view,
+            stop=self._drain,
+            cuts=self._cuts,
+            keep=self._keeper,
+        ).routes()
+        if self._entry is not None:
+            routes += self._entry.routes()
+        tokens = auth.TokenBook(credentials=_credentials(self._cfg))
+        router = gateway.Router(routes=routes, tokens=tokens)
         limits = self._cfg.limits
         guarded = edge.Edge(
             limits=guard.Limits(limits.header_bytes, limits.body_bytes),
             request_timeout_s=limits.request_timeout_s,
             idle_timeout_s=limits.idle_timeout_s,
             connections=limits.connections,
-            clk=self.heap.clock,
-        )
-        guarded.register(self)
-        self.heap.every(edge.SWEEP_S, guarded.sweep)
+            clk=self._heap.clock,
+        ).register(self)
+        self._heap.every(edge.SWEEP_S, guarded.sweep)
         gateway.Gateway(router=router).register(self)
         address = addresses.parse(self._cfg.listen.http)
-        servers.BaseServer(tuple(address)).register(self)
+        servers.BaseServer(tuple(address), display_banner=False).register(self)
+        return guarded
+
+    def _add_metrics(self) -> None:
+        links, carrier = self._links, self._gossip
+        self._registry.read("peer_bytes_sent", lambda: links.bytes_sent)
+        self._registry.read("peer_messages_sent", lambda: links.messages_sent)
+        self._registry.read("gossip_bytes_sent", lambda: carrier.bytes_sent)
+        if self._keeper is not None:
+            hosts = self._keeper.hosts.values()
+            self._registry.read(
+                "keeper_syncs", lambda: sum(h.syncs for h in hosts)
+            )
+            self._registry.read(
+                "keeper_commands", lambda: sum(h.commands for h in hosts)
+            )
+
+    def _members_changed(self) -> None:
+        for info in self._view.live():
+            if info.name != self._name:
+                address = addresses.Address(info.host, info.port)
+                self._links.know(info.name, address)
+        if self._entry is not None:
+            self._entry.zone_slots.members_changed()
+
+    # Stopping.
+
+    def _on_notice(self) -> None:
+        self._view.describe(state=messages.MemberState.ALIVE, is_draining=True)
+        if self._keeper is not None:
+            self._keeper.resign()
+
+    def _on_refuse(self) -> None:
+        if self._entry is not None:
+            self._entry.admission.is_draining = True
+            self._entry.recovery.is_stopped = True
+        if self._edge is not None:
+            self._edge.last_answer = True
+
+    def _in_flight(self) -> int:
+        count = 0
+        if self._entry is not None:
+            count += self._entry.runs.running
+        if self._edge is not None:
+            count += self._edge.busy
+        if self._keeper is not None:
+            count += self._keeper.leading
+        return count
+
+    def _on_stopped(self) -> None:
+        self._gossip.farewell()
+        self.stop()
 
-    @circuits.handler("signal", channel="*")
+    @circuits.handler("signal", channel="*", priority=100)
     def _on_signal(
         self, event: typing.Any, number: int, _frame: typing.Any
     ) -> None:
         event.stop()
-        if number in (signal.SIGTERM, signal.SIGINT):
-            raise SystemExit(EXIT_OK)
+        if self._drain.is_healthy:
+            self._drain.begin()
+        else:
+            _LOG.warning("daemon: stopping at once")
+            self.stop(EXIT_AT_ONCE)
 
     def close(self) -> None:
         """Close all that this instance holds."""
@@ -193,14 +283,15 @@
         cfg = config.load(opts.settings)
         logs.configure(level=cfg.log.level, instance=cfg.instance.name)
         daemon = Daemon(cfg=cfg, clk=clock.SystemClock())
-    except errors.ChervilwheelError as exc:
-        print(f"chervilwheeld: {exc.detail}", file=sys.stderr)
+    except (errors.ChervilwheelError, OSError) as exc:
+        print(f"chervilwheeld: {exc}", file=sys.stderr)
         raise SystemExit(EXIT_SETTINGS) from exc
     _LOG.info("daemon: started", extra={"zone": cfg.instance.zone})
     try:
         daemon.run()
     finally:
         daemon.close()
+    _LOG.info("daemon: ended")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/chervilwheel/entry.py
@@ -0,0 +1,194 @@
+"""The entry role: callers and endpoints in, tasks out."""
+
+import contextlib
+import random
+import typing
+
+from chervilwheel import addresses
+from chervilwheel import admission
+from chervilwheel import api
+from chervilwheel import calls
+from chervilwheel import config
+from chervilwheel import directory
+from chervilwheel import gateway
+from chervilwheel import groupclient
+from chervilwheel import ids
+from chervilwheel import keeperledger
+from chervilwheel import learned
+from chervilwheel import ledgers
+from chervilwheel import membership
+from chervilwheel import messages
+from chervilwheel import metrics
+from chervilwheel import peers
+from chervilwheel import pipeline
+from chervilwheel import recovery
+from chervilwheel import slots
+from chervilwheel import slotsource
+from chervilwheel import streams
+from chervilwheel import timers
+from chervilwheel import zoneowner
+
+
+class Entry:
+    """All that an entry instance does for callers.
+
+    :param cfg: the instance's settings
+    :param boot: names this run of the instance
+    :param view: the membership view
+    :param links: links to the other instances
+    :param client: asks the replica groups
+    :param loop: the stream loop
+    :param heap: timers
+    :param policies: looks up a team's policy
+    :param registry: the instance's metrics
+    :param stack: owns what must be closed
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: config.Settings,
+        boot: str,
+        view: membership.Membership,
+        links: peers.Peers,
+        client: groupclient.GroupClient,
+        loop: streams.StreamLoop,
+        heap: timers.TimerHeap,
+        policies: slots.Policies,
+        registry: metrics.Registry,
+        stack: contextlib.ExitStack,
+    ) -> None:
+        self._cfg = cfg
+        self._links = links
+        self._heap = heap
+        zone = ids.ZoneId(cfg.instance.zone)
+        self.known = directory.Directory()
+        self.zone_slots = zoneowner.ZoneSlots(
+            me=ids.InstanceId(cfg.instance.name),
+            zone=zone,
+            boot=boot,
+            zones=[ids.ZoneId(each) for each in cfg.cluster.zones],
+            view=view,
+            known=self.known,
+            links=links,
+            heap=heap,
+            policies=policies,
+        )
+        caller = calls.Caller(
+            loop=loop, heap=heap, answer_bytes=cfg.limits.answer_bytes
+        )
+        stack.callback(caller.close)
+        times = learned.LearnedTimes()
+        self.admission = admission.LoadAdmission(
+            known=self.known,
+            loads=self.zone_slots.loads,
+            times=times,
+            policies=policies,
+            now=heap.clock.now(),
+        )
+        runner = recovery.runner_id(cfg.instance.name, boot)
+        durable = self._ledger(runner, zone, client)
+        self.runs = pipeline.Pipeline(
+            durable=durable,
+            volatile=ledgers.MemoryLedger(runner=runner),
+            slots=self._slot_source(),
+            caller=caller,
+            heap=heap,
+            admission=self.admission,
+            times=times,
+        )
+        self.recovery = recovery.Recovery(
+            book=durable, runs=self.runs, view=view, heap=heap
+        )
+        links.handle(messages.CancelJob, self._on_cancel_job)
+        self._add_metrics(registry)
+
+    def routes(self) -> list[gateway.Route]:
+        """List what is offered to callers and endpoints."""
+        job_api = api.JobApi(
+            zone=ids.ZoneId(self._cfg.instance.zone),
+            runner=self.runs,
+            heap=self._heap,
+            tell_runner=self._tell_runner,
+        )
+        endpoint_api = api.EndpointApi(
+            known=self.known,
+            announced=self._announced,
+            clk=self._heap.clock,
+        )
+        return job_api.routes() + endpoint_api.routes()
+
+    def _ledger(
+        self,
+        runner: ids.InstanceId,
+        zone: ids.ZoneId,
+        client: groupclient.GroupClient,
+    ) -> ledgers.Ledger:
+        if not self._cfg.cluster.keepers:
+            return ledgers.MemoryLedger(runner=runner)
+        return keeperledger.KeeperLedger(
+            client=client,
+            runner=runner,
+            zone=zone,
+            zones=[ids.ZoneId(each) for each in self._cfg.cluster.zones],
+            heap=self._heap,
+        )
+
+    def _slot_source(self) -> slotsource.SlotSource:
+        choosers: dict[str, typing.Callable[[], slotsource.Chooser]] = {
+            "random": lambda: slotsource.RandomChooser(rng=random.Random()),
+            "round-robin": slotsource.RoundRobinChooser,
+            "two-choices": lambda: slotsource.TwoChoicesChooser(
+                rng=random.Random()
+            ),
+        }
+        name = self._cfg.slots.placement
+        if name not in choosers:
+            return self.zone_slots.client
+        source = slotsource.UncoordinatedSlots(
+            known=self.known,
+            chooser=choosers[name](),
+            clk=self._heap.clock,
+        )
+        self._heap.every(zoneowner.SWEEP_S, source.serve)
+        return source
+
+    def _announced(self, endpoint: directory.Endpoint) -> None:
+        self.zone_slots.announced(endpoint)
+
+    def _tell_runner(self, runner: ids.InstanceId, job: ids.JobId) -> None:
+        name = runner.partition(recovery.BOOT_SEPARATOR)[0]
+        self._links.send(ids.InstanceId(name), messages.CancelJob(job))
+
+    def _on_cancel_job(
+        self, _: peers.Link, message: messages.CancelJob
+    ) -> None:
+        self.runs.cancel_here(message.job)
+
+    def _add_metrics(self, registry: metrics.Registry) -> None:
+        latency = registry.timing("latency_ms")
+        overhead = registry.timing("overhead_ms")
+
+        def on_answered(latency_ms: float, overhead_ms: float) -> None:
+            latency.add(latency_ms)
+            overhead.add(overhead_ms)
+
+        self.runs.on_answered = on_answered
+        registry.read("jobs_running", lambda: self.runs.running)
+        registry.read_table("jobs_", lambda: self.runs.counts)
+        client = self.zone_slots.client
+        registry.read("slots_waiting", lambda: client.waiting)
+        registry.read("slots_unused_grants", lambda: client.unused)
+
+
+def keeper_groups(
+    cfg: config.Settings, links: peers.Peers
+) -> dict[str, list[ids.InstanceId]]:
+    """Learn the founding keepers; list the members of each group."""
+    groups: dict[str, list[ids.InstanceId]] = {}
+    for each in cfg.cluster.keepers:
+        name = ids.InstanceId(each.name)
+        links.know(name, addresses.parse(each.address))
+        for group in each.groups:
+            groups.setdefault(group, []).append(name)
+    return groups
--- a/chervilwheel/keeper.py
+++ b/chervilwheel/keeper.py
@@ -156,6 +156,14 @@
         links.handle(messages.WatchRequest, self._on_watch)
         heap.every(FORGET_S, self._forget_old)
 
+    @property
+    def leading(self) -> int:
+        """Groups that this instance leads with others to hand on to."""
+        return sum(
+            host.member.is_leader and len(host.member.config.voters) > 1
+            for host in self.hosts.values()
+        )
+
     def resign(self) -> None:
         """Hand leadership on everywhere."""
         for host in self.hosts.values():
--- a/chervilwheel/ledger.py
+++ b/chervilwheel/ledger.py
@@ -117,10 +117,11 @@
 
 
 class Orphan(typing.NamedTuple):
-    """An unfinished submission and its epoch."""
+    """An unfinished submission, its epoch and its runner."""
 
     job: ids.JobId
     epoch: int
+    runner: ids.InstanceId
 
 
 class OrphansReply(typing.NamedTuple):
@@ -450,7 +451,7 @@
     def _orphans(self, command: OrphansCommand, _wall_ms: int) -> OrphansReply:
         live = set(command.live)
         orphans = [
-            Orphan(name, self._jobs[name].epoch)
+            Orphan(name, self._jobs[name].epoch, runner)
             for runner, owned in self._unfinished.items()
             if runner not in live
             for name in sorted(owned)
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -1,9 +1,11 @@
 """The messages between instances and their codec."""
 
+import enum
 import typing
 
 from chervilwheel import codec
 from chervilwheel import ids
+from chervilwheel import jobs
 from chervilwheel import replica
 
 
@@ -127,29 +129,52 @@
 
 
 class Want(typing.NamedTuple):
-    """How many alike tasks wait, and when the first is given up."""
+    """How many alike tasks wait, and when the first is given up.
 
+    ``avoid`` is an endpoint that earlier attempts failed on, or empty.
+    """
+
+    service: ids.ServiceId
     team: ids.TeamId
-    urgency: str
+    urgency: jobs.Urgency
+    avoid: ids.EndpointId
     count: int
     deadline_in_s: float
 
 
 class Hold(typing.NamedTuple):
-    """Slots of an endpoint: held in a full report, else given back."""
+    """How many slots of an endpoint an instance holds for a team."""
 
     endpoint: ids.EndpointId
+    team: ids.TeamId
+    urgency: jobs.Urgency
     count: int
 
 
+class Release(typing.NamedTuple):
+    """Slots given back, and how their uses went.
+
+    ``slow`` counts uses that are much slower than their like, whether
+    they have ended or not.
+    """
+
+    endpoint: ids.EndpointId
+    team: ids.TeamId
+    urgency: jobs.Urgency
+    count: int
+    good: int
+    bad: int
+    slow: int
+
+
 class SlotReport(typing.NamedTuple):
-    """What an instance wants of a pool and holds of it.
+    """What an instance wants of a zone's slots and what it gives back.
 
-    ``epoch`` names the instance's run, ``sequence`` counts its reports
-    and ``seen_grant`` is the last message of grants it has taken in.
+    ``epoch`` names the sender's view of the owner, ``sequence`` counts
+    its reports in it and ``seen_grant`` is the last message of grants it
+    has taken in. Only a full report lists all that is held.
     """
 
-    service: ids.ServiceId
     zone: ids.ZoneId
     epoch: str
     sequence: int
@@ -157,30 +182,112 @@
     is_full: bool
     wants: tuple[Want, ...]
     holds: tuple[Hold, ...]
-    suspects: tuple[ids.EndpointId, ...]
+    releases: tuple[Release, ...]
 
 
 class SlotGrant(typing.NamedTuple):
     """Slots of one endpoint for alike tasks."""
 
+    service: ids.ServiceId
     team: ids.TeamId
-    urgency: str
+    urgency: jobs.Urgency
+    avoid: ids.EndpointId
     endpoint: ids.EndpointId
+    host: str
+    port: int
     count: int
 
 
 class SlotGrants(typing.NamedTuple):
-    """A pool owner's answer to reports."""
+    """An owner's answer to reports; it may ask for a full one."""
 
-    service: ids.ServiceId
     zone: ids.ZoneId
     epoch: str
     number: int
-    seen_report: int
+    needs_full: bool
     grants: tuple[SlotGrant, ...]
+
+
+class ServiceLoad(typing.NamedTuple):
+    """Slots of a service in a zone, and tasks that wait for them."""
+
+    service: ids.ServiceId
+    slots: int
     free: int
     waiting: int
-    needs_full: bool
+
+
+class TeamLoad(typing.NamedTuple):
+    """Tasks of a team that wait in a zone."""
+
+    team: ids.TeamId
+    waiting: int
+    is_over_quota: bool
+
+
+class ZoneLoad(typing.NamedTuple):
+    """What a zone's slot owner tells all instances now and then."""
+
+    zone: ids.ZoneId
+    services: tuple[ServiceLoad, ...]
+    teams: tuple[TeamLoad, ...]
+
+
+class CancelJob(typing.NamedTuple):
+    """Tell a submission's runner that it was cancelled."""
+
+    job: ids.JobId
+
+
+class MemberState(enum.Enum):
+    """What is believed of an instance."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEFT = "left"
+
+
+class MemberInfo(typing.NamedTuple):
+    """An instance as it describes itself, or as others believe it.
+
+    A higher incarnation, set by the instance itself, overrules any
+    belief of a lower one.
+    """
+
+    name: ids.InstanceId
+    zone: ids.ZoneId
+    is_entry: bool
+    host: str
+    port: int
+    boot: str
+    incarnation: int
+    state: MemberState
+    is_draining: bool
+
+
+class GossipKind(enum.Enum):
+    """What a membership datagram is for."""
+
+    PING = "ping"
+    ACK = "ack"
+    PING_REQUEST = "ping_request"
+    SYNC = "sync"
+
+
+class Gossip(typing.NamedTuple):
+    """A membership datagram, with news piggybacked.
+
+    ``target`` is who is asked about; ``digest`` covers the sender's
+    whole view.
+    """
+
+    kind: GossipKind
+    sequence: int
+    target: ids.InstanceId
+    sender: MemberInfo
+    digest: int
+    updates: tuple[MemberInfo, ...]
 
 
 REPLICA_KINDS = (
@@ -210,5 +317,8 @@
         EndpointNews,
         SlotReport,
         SlotGrants,
+        ZoneLoad,
+        CancelJob,
+        Gossip,
     ],
 )
--- a/chervilwheel/peers.py
+++ b/chervilwheel/peers.py
@@ -36,12 +36,18 @@
     :param owner: who holds the link
     :param stream: its bytes
     :param is_connector: whether this side opened it
+    :param peer: the other side, if it is known already
     """
 
     def __init__(
-        self, *, owner: "Peers", stream: streams.Stream, is_connector: bool
+        self,
+        *,
+        owner: "Peers",
+        stream: streams.Stream,
+        is_connector: bool,
+        peer: ids.InstanceId = ids.InstanceId(""),
     ) -> None:
-        self.peer = ids.InstanceId("")
+        self.peer = peer
         self.is_ready = False
         self.heard_at = owner.heap.clock.now()
         self._owner = owner
@@ -68,11 +74,16 @@
         self._stream.close()
 
     def _send(self, message: typing.Any) -> None:
+        if self._owner.is_cut(self.peer, "out"):
+            return
         data = messages.CODEC.encode(message)
         self._owner.bytes_sent += len(data) + _LENGTH.size
+        self._owner.messages_sent += 1
         self._stream.send(_LENGTH.pack(len(data)) + data)
 
     def _on_data(self, data: bytes) -> None:
+        if self._owner.is_cut(self.peer, "in"):
+            return
         self.heard_at = self._owner.heap.clock.now()
         self._buffer += data
         try:
@@ -134,6 +145,8 @@
             raise errors.ProtocolError("the peer doesn't know the key")
 
     def _begin(self, peer: ids.InstanceId) -> None:
+        if self.peer not in ("", peer):
+            raise errors.ProtocolError("another instance answered")
         self.peer = peer
         self.is_ready = True
         self._owner.ready(self)
@@ -160,6 +173,7 @@
     :param key: the key all instances share
     :param loop: the stream loop
     :param heap: timers
+    :param is_cut: tells whether a rehearsal drops traffic with a peer
     """
 
     def __init__(
@@ -169,8 +183,11 @@
         key: bytes,
         loop: streams.StreamLoop,
         heap: timers.TimerHeap,
+        is_cut: typing.Callable[[ids.InstanceId, str], bool],
     ) -> None:
         self.name = name
+        self.is_cut = is_cut
+        self.messages_sent = 0
         self.heap = heap
         self.bytes_sent = 0
         self._key = key
@@ -278,7 +295,9 @@
         if now < known.retry_at:
             return
         stream = self._loop.connect(known.address)
-        known.link = Link(owner=self, stream=stream, is_connector=True)
+        known.link = Link(
+            owner=self, stream=stream, is_connector=True, peer=peer
+        )
         known.opened_at = now
 
     def _accept(self, stream: streams.Stream) -> None:
--- a/chervilwheel/pipeline.py
+++ b/chervilwheel/pipeline.py
@@ -54,6 +54,7 @@
     :param caller: sends tasks to endpoints
     :param heap: timers
     :param admission: decides what may be taken
+    :param times: learned run times by service and team
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         caller: calls.Caller,
         heap: timers.TimerHeap,
         admission: Admission,
+        times: learned.LearnedTimes,
     ) -> None:
         self._durable = durable
         self._volatile = volatile
@@ -74,12 +76,14 @@
         self._clock: clock.Clock = heap.clock
         self._admission = admission
         self._runs: dict[ids.JobId, _runs.Run] = {}
-        self._times = learned.LearnedTimes()
+        self._times = times
         self._budget = budgets.RetryBudget(
             share=RETRY_SHARE, burst=RETRY_BURST
         )
         self.counts: collections.Counter[str] = collections.Counter()
-        self.over_ideal: typing.Callable[[float], None] = lambda _: None
+        self.on_answered: typing.Callable[[float, float], None] = (
+            lambda latency_ms, overhead_ms: None
+        )
 
     @property
     def running(self) -> int:
@@ -235,7 +239,50 @@
         timeout_s = longest_ms / 1000 + ANSWER_GRACE_S
         self._durable.watch(submission.job, timeout_s, on_finished)
 
-    # Cancel and adopt.
+    # Fetch, cancel and adopt.
+
+    def fetch(
+        self,
+        job: ids.JobId,
+        team: ids.TeamId,
+        wait_s: float,
+        done: AnswerDone,
+        problem: Problem,
+    ) -> None:
+        """Tell a submission's answer, or that it still runs.
+
+        :param wait_s: how long to wait for it to finish, seconds
+        """
+
+        def on_state(reply: ledger.JobReply | None) -> None:
+            if reply is None:
+                problem(
+                    errors.OutcomeUnknown(
+                        "the ledger of the submission can't be reached",
+                        retry_after_s=RETRY_AFTER_S,
+                    )
+                )
+            elif reply.verdict is Verdict.FINISHED:
+                done(_runs.answer_of(reply))
+            elif reply.verdict is Verdict.JOINED:
+                self._wait(job, wait_s, done)
+            elif reply.verdict is Verdict.ABSENT:
+                problem(errors.NotFound("the submission is not known"))
+            else:
+                problem(_runs.claim_problem(reply))
+
+        anything = jobs.JobSpec((), False, "")
+        claim = ledgers.Claim(job, team, anything, is_lookup=True)
+        self._durable.claim(claim, on_state)
+
+    def _wait(self, job: ids.JobId, wait_s: float, done: AnswerDone) -> None:
+        def on_finished(reply: ledger.JobReply | None) -> None:
+            if reply is not None and reply.verdict is Verdict.FINISHED:
+                done(_runs.answer_of(reply))
+            else:
+                done(jobs.Answer(job, jobs.Outcome.RUNNING, "", ()))
+
+        self._durable.watch(job, wait_s, on_finished)
 
     def cancel(
         self, job: ids.JobId, team: ids.TeamId, done: ledgers.Done
@@ -359,8 +406,8 @@
         attempt = _runs.Attempt(task=task, grant=grant, started_at=now)
         task.attempts.append(attempt)
         call = calls.Call(
-            endpoint=grant.endpoint.endpoint,
-            address=grant.endpoint.address,
+            endpoint=grant.endpoint,
+            address=grant.address,
             job=task.run.submission.job,
             task=task.number,
             attempt=task.tries,
@@ -383,22 +430,24 @@
         self, task: _runs.TaskRun, attempt: _runs.Attempt
     ) -> None:
         times = self._times.get(_kind(task))
-        if not task.spec.is_idempotent or times is None:
+        if times is None:
             return
         delay_s = HEDGE_FACTOR * times.quantile_ms(HEDGE_QUANTILE) / 1000
         attempt.hedge_timer = self._heap.call_later(
-            max(HEDGE_LEAST_S, delay_s), lambda: self._hedge(attempt)
+            max(HEDGE_LEAST_S, delay_s), lambda: self._on_slow(attempt)
         )
 
-    def _hedge(self, attempt: _runs.Attempt) -> None:
+    def _on_slow(self, attempt: _runs.Attempt) -> None:
         task = attempt.task
-        if task.is_over or attempt not in task.attempts:
+        if attempt not in task.attempts:
             return
         self._slots.mark_slow(attempt.grant)
-        may_try = task.tries < MAX_ATTEMPTS and task.waiting is None
-        if may_try and task.grant is None and self._budget.spend():
+        if task.is_over or not task.spec.is_idempotent:
+            return
+        is_alone = task.waiting is None and task.grant is None
+        if is_alone and task.tries < MAX_ATTEMPTS and self._budget.spend():
             self.counts["hedged"] += 1
-            task.avoid = attempt.grant.endpoint.endpoint
+            task.avoid = attempt.grant.endpoint
             self._queue(task)
 
     def _collect(self, attempt: _runs.Attempt, end: calls.CallResult) -> None:
@@ -415,6 +464,7 @@
             self._on_late(task, end)
         elif end.outcome is calls.CallOutcome.ANSWERED:
             self._times.add(_kind(task), run_ms)
+            task.run.longest_ms = max(task.run.longest_ms, run_ms)
             self._finish(task, _runs.complete_result(task.number, end.body))
         elif self._has_more(task):
             task.bad_end = end
@@ -532,6 +582,9 @@
         if isinstance(run.book, ledgers.MemoryLedger):
             run.book.forget(run.submission.job)
         self.counts[f"answered_{answer.outcome.value}"] += 1
+        if answer.outcome is jobs.Outcome.COMPLETE:
+            latency_ms = (self._clock.now() - run.began_at) * 1000
+            self.on_answered(latency_ms, latency_ms - run.longest_ms)
         waiters, run.waiters = run.waiters, []
         for waiter in waiters:
             waiter.done(answer)
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -150,43 +150,97 @@
 struct EndpointNews { announcements @0 :List(Announcement); }
 
 struct Want {
-  team @0 :Text;
-  urgency @1 :Text;
-  count @2 :UInt32;
-  deadlineInS @3 :Float64;
+  service @0 :Text;
+  team @1 :Text;
+  urgency @2 :Text;
+  avoid @3 :Text;
+  count @4 :UInt32;
+  deadlineInS @5 :Float64;
 }
 
-struct Hold { endpoint @0 :Text; count @1 :UInt32; }
+struct Hold {
+  endpoint @0 :Text;
+  team @1 :Text;
+  urgency @2 :Text;
+  count @3 :UInt32;
+}
+
+struct Release {
+  endpoint @0 :Text;
+  team @1 :Text;
+  urgency @2 :Text;
+  count @3 :UInt32;
+  good @4 :UInt32;
+  bad @5 :UInt32;
+  slow @6 :UInt32;
+}
 
 struct SlotReport {
-  service @0 :Text;
-  zone @1 :Text;
-  epoch @2 :Text;
-  sequence @3 :UInt64;
-  seenGrant @4 :UInt64;
-  isFull @5 :Bool;
-  wants @6 :List(Want);
-  holds @7 :List(Hold);
-  suspects @8 :List(Text);
+  zone @0 :Text;
+  epoch @1 :Text;
+  sequence @2 :UInt64;
+  seenGrant @3 :UInt64;
+  isFull @4 :Bool;
+  wants @5 :List(Want);
+  holds @6 :List(Hold);
+  releases @7 :List(Release);
 }
 
 struct SlotGrant {
-  team @0 :Text;
-  urgency @1 :Text;
-  endpoint @2 :Text;
-  count @3 :UInt32;
+  service @0 :Text;
+  team @1 :Text;
+  urgency @2 :Text;
+  avoid @3 :Text;
+  endpoint @4 :Text;
+  host @5 :Text;
+  port @6 :UInt16;
+  count @7 :UInt32;
 }
 
-struct SlotGrants {
+struct ServiceLoad {
   service @0 :Text;
+  slots @1 :UInt32;
+  free @2 :UInt32;
+  waiting @3 :UInt32;
+}
+
+struct TeamLoad { team @0 :Text; waiting @1 :UInt32; isOverQuota @2 :Bool; }
+
+struct SlotGrants {
+  zone @0 :Text;
+  epoch @1 :Text;
+  number @2 :UInt64;
+  needsFull @3 :Bool;
+  grants @4 :List(SlotGrant);
+}
+
+struct ZoneLoad {
+  zone @0 :Text;
+  services @1 :List(ServiceLoad);
+  teams @2 :List(TeamLoad);
+}
+
+struct CancelJob { job @0 :Text; }
+
+struct MemberInfo {
+  name @0 :Text;
   zone @1 :Text;
-  epoch @2 :Text;
-  number @3 :UInt64;
-  seenReport @4 :UInt64;
-  grants @5 :List(SlotGrant);
-  free @6 :Int32;
-  waiting @7 :UInt32;
-  needsFull @8 :Bool;
+  isEntry @2 :Bool;
+  host @3 :Text;
+  port @4 :UInt16;
+  boot @5 :Text;
+  incarnation @6 :UInt64;
+  state @7 :Text;
+  isDraining @8 :Bool;
+}
+
+struct Gossip {
+  kind @0 :Text;
+  sequence @1 :UInt64;
+  target @2 :Text;
+  sender @3 :MemberInfo;
+  digest @4 :UInt64;
+  updates @5 :List(MemberInfo);
 }
 
 struct Peer {
@@ -210,5 +264,8 @@
     endpointNews @16 :EndpointNews;
     slotReport @17 :SlotReport;
     slotGrants @18 :SlotGrants;
+    zoneLoad @19 :ZoneLoad;
+    cancelJob @20 :CancelJob;
+    gossip @21 :Gossip;
   }
 }
--- a/chervilwheel/schema/records.capnp
+++ b/chervilwheel/schema/records.capnp
@@ -74,7 +74,7 @@
   intents @9 :List(UInt16);
 }
 
-struct Orphan { job @0 :Text; epoch @1 :UInt64; }
+struct Orphan { job @0 :Text; epoch @1 :UInt64; runner @2 :Text; }
 struct OrphansReply { orphans @0 :List(Orphan); }
 
 struct JobState {
--- a/chervilwheel/slotsource.py
+++ b/chervilwheel/slotsource.py
@@ -7,6 +7,7 @@
 import random
 import typing
 
+from chervilwheel import addresses
 from chervilwheel import clock
 from chervilwheel import directory
 from chervilwheel import ids
@@ -33,7 +34,9 @@
 class Grant(typing.NamedTuple):
     """Leave to run one task on an endpoint."""
 
-    endpoint: directory.Endpoint
+    endpoint: ids.EndpointId
+    address: addresses.Address
+    zone: ids.ZoneId
     need: Need
 
 
@@ -186,7 +189,7 @@
 
     def release(self, grant: Grant, use: Use) -> None:
         """Take a slot back and serve the queue."""
-        self._used[grant.endpoint.endpoint] -= 1
+        self._used[grant.endpoint] -= 1
         self.serve()
 
     def mark_slow(self, grant: Grant) -> None:
@@ -209,7 +212,14 @@
                 continue
             self._used[chosen.endpoint] += 1
             waiting.is_done = True
-            waiting.granted(Grant(chosen, waiting.need))
+            waiting.granted(
+                Grant(
+                    chosen.endpoint,
+                    chosen.address,
+                    chosen.zone,
+                    waiting.need,
+                )
+            )
 
     def _pick(self, waiting: Waiting) -> directory.Endpoint | None:
         candidates = [
--- /dev/null
+++ b/loadtool/__init__.py
@@ -0,0 +1,1 @@
+"""A load and experiment tool over real processes on loopback."""
--- /dev/null
+++ b/loadtool/layout.py
@@ -0,0 +1,164 @@
+"""Which processes a scenario runs, and their settings files."""
+
+import hashlib
+import itertools
+import json
+import pathlib
+import socket
+import typing
+
+TEAM_TOKEN = "team-token-for-load"
+OPERATOR_TOKEN = "operator-token-for-load"
+KEY = "a-cluster-key-for-load-runs"
+TEAM = "pricing-team"
+OTHER_TEAM = "faults-team"
+OTHER_TOKEN = "other-team-token-for-load"
+
+
+class Layout(typing.NamedTuple):
+    """How many of each, and where.
+
+    ``entries`` and ``executors`` count per zone; ``keepers`` gives the
+    zone of each keeper; times are milliseconds.
+    """
+
+    zones: tuple[str, ...] = ("hafnir-a",)
+    entries: tuple[int, ...] = (3,)
+    keepers: tuple[str, ...] = ("hafnir-a", "hafnir-a", "hafnir-a")
+    executors: tuple[int, ...] = (24,)
+    slots: int = 8
+    run_ms: tuple[float, float] = (50.0, 200.0)
+    least_sync_ms: float = 0.0
+    placement: str = "pool"
+
+
+class Node(typing.NamedTuple):
+    """One daemon: its name, zone, addresses and files."""
+
+    name: str
+    zone: str
+    role: str
+    http: str
+    peer: str
+    folder: pathlib.Path
+
+    @property
+    def settings(self) -> pathlib.Path:
+        """Path of its settings file."""
+        return self.folder / f"{self.name}.toml"
+
+    @property
+    def data(self) -> pathlib.Path:
+        """Path of its data folder."""
+        return self.folder / f"{self.name}.data"
+
+
+def free_ports(count: int) -> list[int]:
+    """Find TCP ports that are free on loopback now."""
+    socks = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        socks.append(sock)
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def plan(layout: Layout, folder: pathlib.Path) -> list[Node]:
+    """Name the daemons of a layout and give them addresses."""
+    names = []
+    for number, zone in enumerate(layout.keepers, 1):
+        names.append((f"keeper-{number}", zone, "keeper"))
+    numbers = itertools.count(1)
+    for zone, count in zip(layout.zones, layout.entries, strict=True):
+        for _ in range(count):
+            names.append((f"entry-{next(numbers)}", zone, "entry"))
+    ports = iter(free_ports(2 * len(names)))
+    return [
+        Node(
+            name=name,
+            zone=zone,
+            role=role,
+            http=f"127.0.0.1:{next(ports)}",
+            peer=f"127.0.0.1:{next(ports)}",
+            folder=folder,
+        )
+        for name, zone, role in names
+    ]
+
+
+def write_settings(layout: Layout, nodes: typing.Sequence[Node]) -> None:
+    """Write the settings file of every daemon."""
+    shared = _shared(layout, nodes)
+    for node in nodes:
+        own = {
+            "instance": {
+                "name": node.name,
+                "zone": node.zone,
+                "roles": [node.role],
+                "data_folder": str(node.data),
+            },
+            "listen": {"http": node.http, "peer": node.peer},
+        }
+        node.settings.write_text(_toml(own) + shared)
+
+
+def _shared(layout: Layout, nodes: typing.Sequence[Node]) -> str:
+    keepers = [node for node in nodes if node.role == "keeper"]
+    lines = [
+        "[cluster]",
+        f"zones = {json.dumps(list(layout.zones))}",
+        f'key = "{KEY}"',
+        f"seeds = {json.dumps([node.peer for node in nodes[:4]])}",
+    ]
+    for keeper in keepers:
+        groups = ["settings"] + [
+            f"ledger.{zone}"
+            for zone in layout.zones
+            if keeper.name in _ledger_members(zone, keepers)
+        ]
+        lines += [
+            "[[cluster.keepers]]",
+            f'name = "{keeper.name}"',
+            f'address = "{keeper.peer}"',
+            f'zone = "{keeper.zone}"',
+            f"groups = {json.dumps(groups)}",
+        ]
+    for team, token in ((TEAM, TEAM_TOKEN), (OTHER_TEAM, OTHER_TOKEN)):
+        lines += ["[[auth.tokens]]", f'team = "{team}"', _hash(token)]
+    lines += ["[[auth.tokens]]", "operator = true", _hash(OPERATOR_TOKEN)]
+    lines += [
+        "[storage]",
+        f"least_sync_ms = {layout.least_sync_ms}",
+        "[slots]",
+        f'placement = "{layout.placement}"',
+        "[rehearsal]",
+        "enabled = true",
+        "[limits]",
+        "drain_notice_s = 0.5",
+        "",
+    ]
+    return "\n".join(lines)
+
+
+def _ledger_members(zone: str, keepers: typing.Sequence[Node]) -> list[str]:
+    """Pick a zone's own keepers, and one of another zone to break ties."""
+    own = [each.name for each in keepers if each.zone == zone]
+    others = [each.name for each in keepers if each.zone != zone]
+    if len(own) == 2 and others:
+        own.append(others[sum(map(ord, zone)) % len(others)])
+    return own
+
+
+def _hash(token: str) -> str:
+    return f'sha256 = "{hashlib.sha256(token.encode()).hexdigest()}"'
+
+
+def _toml(tables: dict[str, dict[str, typing.Any]]) -> str:
+    lines = []
+    for name, table in tables.items():
+        lines.append(f"[{name}]")
+        lines += [f"{key} = {json.dumps(v)}" for key, v in table.items()]
+    return "\n".join(lines) + "\n"
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -134,13 +134,13 @@
         body: bytes,
     ) -> None:
         if self._busy >= self._opts.slots:
-            self._note(headers, "refused")
+            self._note(headers, "refused", body)
             self._answer(
                 writer, 503, headers, b"{}", "X-Chervilwheel-Not-Started: 1"
             )
             return
         self._busy += 1
-        self._note(headers, "started")
+        self._note(headers, "started", body)
         try:
             await self._behave(writer, headers, body)
         finally:
@@ -207,8 +207,11 @@
         sent = body[:-64] if self._mode == "truncate" else body
         writer.write(head.encode() + sent)
 
-    def _note(self, headers: dict[str, str], what: str) -> None:
+    def _note(self, headers: dict[str, str], what: str, body: bytes) -> None:
+        payload = json.loads(body)
+        mark = payload.get("mark") if isinstance(payload, dict) else None
         record = {
+            "mark": mark,
             "at": time.time(),
             "what": what,
             "job": headers.get("x-chervilwheel-job"),
