Mend answers on kept-alive connections; log failed handlers

Cause: the edge read the socket from the wrong event, so the second request on a connection was never handed on (seen with two requests by one curl: only the first was answered), and circuits keeps handler errors silent. Public methods of a circuits Component are handlers too, so Daemon.close ran on every close event.

Ruled out: a loss in the web library (the guard's own queue held it).

Change: the right event, a log record for every failed handler, BaseComponent everywhere; the load tool keeps connections alive.

Before: one of two requests on a connection answered. After: two of two.

--- a/chervilwheel/daemon.py
+++ b/chervilwheel/daemon.py
@@ -45,7 +45,7 @@
 EXIT_AT_ONCE = 3
 
 
-class Daemon(circuits.Component):
+class Daemon(circuits.BaseComponent):
     """One instance.
 
     :param cfg: its checked settings
@@ -244,6 +244,15 @@
         self._gossip.farewell()
         self.stop()
 
+    @circuits.handler("exception", channel="*", priority=100)
+    def _on_exception(
+        self, _kind: type, exc: BaseException, trace: list[str], **_: object
+    ) -> None:
+        _LOG.error(
+            "daemon: a handler failed",
+            extra={"error": repr(exc), "trace": "".join(trace)},
+        )
+
     @circuits.handler("signal", channel="*", priority=100)
     def _on_signal(
         self, event: typing.Any, number: int, _frame: typing.Any
--- a/chervilwheel/edge.py
+++ b/chervilwheel/edge.py
@@ -37,7 +37,7 @@
         self.since = now
 
 
-class Edge(circuits.Component):
+class Edge(circuits.BaseComponent):
     """Stand between the listening socket and the web library.
 
     :param limits: bounds of one request
@@ -132,7 +132,8 @@
 
     @circuits.handler("response_complete", channel="*")
     def _on_response_complete(self, event: typing.Any, *_: typing.Any) -> None:
-        sock = event.args[0].request.sock
+        res = event.args[0].args[0]
+        sock = res.request.sock
         caller = self._callers.get(sock)
         if caller is None:
             return
--- a/chervilwheel/gateway.py
+++ b/chervilwheel/gateway.py
@@ -165,7 +165,7 @@
         raise errors.InvalidRequest("the resource has no such method")
 
 
-class Gateway(circuits.Component):
+class Gateway(circuits.BaseComponent):
     """Hand the web library's requests to the router.
 
     :param router: the router
--- a/chervilwheel/streams.py
+++ b/chervilwheel/streams.py
@@ -117,7 +117,7 @@
 Acceptor = typing.Callable[[Stream], None]
 
 
-class StreamLoop(circuits.Component):
+class StreamLoop(circuits.BaseComponent):
     """Poll streams and listeners within the circuits loop."""
 
     channel = "streams"
--- a/chervilwheel/timers.py
+++ b/chervilwheel/timers.py
@@ -84,7 +84,7 @@
             _LOG.exception("timers: a callback failed")
 
 
-class TimerLoop(circuits.Component):
+class TimerLoop(circuits.BaseComponent):
     """Run a timer heap in the circuits loop.
 
     :param heap: the timers
--- a/loadtool/client.py
+++ b/loadtool/client.py
@@ -21,6 +21,7 @@
     def __init__(self) -> None:
         self.body = bytearray()
         self.is_whole = False
+        self.keeps_alive = False
         self.parser = httptools.HttpResponseParser(self)
 
     def on_body(self, body: bytes) -> None:
@@ -28,6 +29,7 @@
 
     def on_message_complete(self) -> None:
         self.is_whole = True
+        self.keeps_alive = self.parser.should_keep_alive()
 
 
 class Client:
@@ -77,7 +79,7 @@
         except BaseException:
             writer.close()
             raise
-        if parser.parser.should_keep_alive():
+        if parser.keeps_alive:
             self._idle[address].append((reader, writer))
         else:
             writer.close()
