--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	$(VENV)/bin/flake8 chervilwheel loadtool standins examples tests
 
 test: setup lint
-	$(PY) -m pytest -q -rxX
+	$(PY) -m pytest -q -rxX -n 6
 
 clean:
 	rm -rf $(VENV) build
--- a/chervilwheel/gateway.py
+++ b/chervilwheel/gateway.py
@@ -186,6 +186,9 @@
         def respond(
             status: int, kind: str, body: bytes, headers: dict[str, str]
         ) -> None:
+            if req.sock.fileno() < 0:
+                # The caller has gone; its answer stays in the ledger.
+                return
             res.status = status
             res.headers["Content-Type"] = kind
             for name, value in headers.items():
--- a/chervilwheel/grouphost.py
+++ b/chervilwheel/grouphost.py
@@ -74,6 +74,7 @@
         self.group = group
         self.member = member
         self.is_halted = False
+        self.halt_reason = ""
         self.syncs = 0
         self.on_sync: typing.Callable[[float], None] = lambda seconds: None
         self.commands = 0
@@ -104,7 +105,11 @@
         """Take a message of the group in."""
         if self.is_halted:
             return
-        self.member.receive(message, self._heap.clock.now())
+        try:
+            self.member.receive(message, self._heap.clock.now())
+        except errors.ChervilwheelError as exc:
+            self._halt(exc)
+            return
         self._pump_soon()
 
     def resign(self) -> None:
@@ -135,7 +140,7 @@
             while self._step():
                 pass
             self._compact_if_large()
-        except errors.StorageError as exc:
+        except errors.ChervilwheelError as exc:
             self._halt(exc)
 
     def _propose_arrived(self) -> None:
@@ -220,10 +225,11 @@
         entries = self.member.log.since(snapshot.index + 1)
         self._book.compact(snapshot, entries)
 
-    def _halt(self, exc: errors.StorageError) -> None:
+    def _halt(self, exc: errors.ChervilwheelError) -> None:
         self.is_halted = True
+        self.halt_reason = exc.detail
         _LOG.error(
-            "keeper: group halted, its disk failed",
+            "keeper: group halted",
             extra={"group": self.group, "error": exc.detail},
         )
         self._fail_pending()
--- a/chervilwheel/ledger.py
+++ b/chervilwheel/ledger.py
@@ -374,6 +374,8 @@
             return JobReply(Verdict.FENCED, command.job)
         if job.is_cancelled:
             return JobReply(Verdict.CANCELLED, command.job)
+        if any(task in job.results for task in command.tasks):
+            return JobReply(Verdict.FENCED, command.job)
         job.intents.update(command.tasks)
         return JobReply(Verdict.SYNCED, command.job, epoch=job.epoch)
 
--- a/chervilwheel/pipeline.py
+++ b/chervilwheel/pipeline.py
@@ -29,6 +29,8 @@
 ATTEMPT_LEAST_S = 2.0
 ANSWER_GRACE_S = 1.0
 INTEND_RETRY_S = 0.2
+HOLD_S = 0.3
+FRESH_MS = 1000
 
 Submission = _runs.Submission
 AnswerDone = _runs.AnswerDone
@@ -172,10 +174,22 @@
             submission.job, submission.team, submission.spec, intents
         )
         self._watch_recording(run)
-        for task in run.tasks:
-            self._place(task)
+        if self._is_likely_new(submission):
+            for task in run.tasks:
+                self._place(task)
         book.claim(claim, lambda reply: self._on_claimed(run, intents, reply))
 
+    def _is_likely_new(self, submission: Submission) -> bool:
+        # Only then slots are asked for beside the claim; a resubmission
+        # would ask for slots that it doesn't need.
+        if not submission.has_callers_key:
+            return True
+        minted = ids.parse_minted(submission.job)
+        if minted is None:
+            return False
+        age_ms = self._clock.wall() * 1000 - minted.minted_ms
+        return abs(age_ms) < FRESH_MS
+
     def _early_intents(self, run: _runs.Run) -> tuple[int, ...]:
         # With slots free at once, the intents ride on the claim and the
         # job costs one synced write before its first byte.
@@ -201,6 +215,8 @@
             for number in intents:
                 run.tasks[number].has_intent = True
             for task in run.tasks:
+                if task.timer is None:
+                    self._place(task)
                 self._start_if_ready(task)
             self._record(run)
             return
@@ -361,13 +377,23 @@
         self._staged("slot", task.queued_at)
         task.grant = grant
         self._start_if_ready(task)
+        if task.grant is grant:
+            self._heap.call_later(HOLD_S, lambda: self._unhold(task, grant))
+
+    def _unhold(self, task: _runs.TaskRun, grant: slotsource.Grant) -> None:
+        # The ledger is slow; others may use the slot meanwhile.
+        if task.grant is grant:
+            self._return_grant(task)
 
     def _start_if_ready(self, task: _runs.TaskRun) -> None:
         run = task.run
-        if task.grant is None or not run.epoch:
+        if not run.epoch:
             return
         if task.is_over:
             self._return_grant(task)
+        elif task.grant is None:
+            if not task.attempts:
+                self._queue(task)
         elif task.spec.is_idempotent or task.has_intent:
             self._start(task)
         else:
--- a/chervilwheel/replica.py
+++ b/chervilwheel/replica.py
@@ -437,7 +437,8 @@
         self._late(reply)
 
     def _would_vote(self, message: VoteRequest, now: float) -> bool:
-        if not self.is_voter or message.sender not in self.config.voters:
+        # The candidate may vote under a config that is not known here yet.
+        if not self.is_voter:
             return False
         if message.term < self.term or self._is_led(message, now):
             return False
--- a/chervilwheel/timers.py
+++ b/chervilwheel/timers.py
@@ -33,10 +33,17 @@
     """Timers ordered by time.
 
     :param clk: the clock that decides what is due
+    :param on_error: told of what a callback raises; the rest goes on
     """
 
-    def __init__(self, *, clk: clock.Clock) -> None:
+    def __init__(
+        self,
+        *,
+        clk: clock.Clock,
+        on_error: typing.Callable[[Exception], None] | None = None,
+    ) -> None:
         self.clock = clk
+        self._on_error = on_error or _log_error
         self._heap: list[tuple[float, int, Timer]] = []
         self._order = itertools.count()
 
@@ -78,16 +85,19 @@
             return None
         return max(0.0, self._heap[0][0] - self.clock.now())
 
-    @staticmethod
-    def _run(timer: Timer) -> None:
+    def _run(self, timer: Timer) -> None:
         callback = timer.callback
         timer.callback = None
         if callback is None:
             return
         try:
             callback()
-        except Exception:
-            _LOG.exception("timers: a callback failed")
+        except Exception as exc:
+            self._on_error(exc)
+
+
+def _log_error(exc: Exception) -> None:
+    _LOG.error("timers: a callback failed", exc_info=exc)
 
 
 class TimerLoop(circuits.BaseComponent):
--- a/loadtool/drive.py
+++ b/loadtool/drive.py
@@ -10,6 +10,8 @@
 from loadtool import layout
 
 TICK_S = 0.002
+MOST_SENDS = 5
+RESEND_S = 0.2
 
 
 class Shape(typing.NamedTuple):
@@ -186,14 +188,22 @@
             path = "/v1/jobs"
             table["service"] = cluster.SERVICE
             table["tasks"] = [{"payload": each} for each in payloads]
-        return await self._client.post(
-            self._pick().http,
-            path,
-            table,
-            token=layout.TEAM_TOKEN,
-            key=key,
-            timeout_s=shape.deadline_ms / 1000 + 10.0,
-        )
+        reply = client.Reply(0, {})
+        for _ in range(MOST_SENDS):
+            reply = await self._client.post(
+                self._pick().http,
+                path,
+                table,
+                token=layout.TEAM_TOKEN,
+                key=key,
+                timeout_s=shape.deadline_ms / 1000 + 10.0,
+            )
+            may_resend = key is not None or is_idempotent
+            if reply.status or not may_resend:
+                break
+            # As a caller would: the same key again, elsewhere.
+            await asyncio.sleep(RESEND_S)
+        return reply
 
     async def _cancel(self, key: str) -> client.Reply:
         await asyncio.sleep(self._rng.uniform(0.0, 0.1))
