Replicate settings among keepers, with an audit chain

Cause: teams' policies were defaults; nothing could be declared.

Ruled out: settings inside each zone's ledger group (a team's subtree would need agreement over all groups). Chosen: one group over the zones on the same replica module; documents under paths, compare-and-set by the subtree's revision, answers kept by change id, instances pull by revision and digest and never step back, a cache beside them.

Change: policies, policyview, settingsapi, team tokens and policies from documents, audit records chained by hash.

--- a/chervilwheel/config.py
+++ b/chervilwheel/config.py
@@ -88,6 +88,13 @@
     tokens: list[Token] = _opt([], doc="Bearer tokens by hash.")
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TeamAccess:
+    """The document that lists a team's tokens."""
+
+    tokens: list[str] = _opt(doc="SHA-256 of tokens, hex.", pattern=SHA256)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Limits:
     """Bounds of one instance."""
--- a/chervilwheel/daemon.py
+++ b/chervilwheel/daemon.py
@@ -34,9 +34,11 @@
 from chervilwheel import metrics
 from chervilwheel import operatorapi
 from chervilwheel import peers
+from chervilwheel import policies
+from chervilwheel import policyview
 from chervilwheel import rehearsal
+from chervilwheel import settingsapi
 from chervilwheel import streams
-from chervilwheel import teampolicy
 from chervilwheel import timers
 
 _LOG = logging.getLogger("daemon")
@@ -68,11 +70,12 @@
         self._links = self._open_links()
         self._view = self._open_view()
         self._gossip = self._open_gossip()
+        groups = entry.keeper_groups(cfg, self._links)
         self._client = groupclient.GroupClient(
-            links=self._links,
-            heap=self._heap,
-            groups=entry.keeper_groups(cfg, self._links),
+            links=self._links, heap=self._heap, groups=groups
         )
+        self._tokens = auth.TokenBook(credentials=_credentials(cfg))
+        self._policies = self._open_policies(groups)
         self._keeper = self._open_keeper()
         self._entry = self._open_entry()
         self._drain = self._make_drain()
@@ -124,6 +127,27 @@
         self._links.on_lost(carrier.suspect)
         return carrier
 
+    def _open_policies(
+        self, groups: dict[str, list[ids.InstanceId]]
+    ) -> policyview.PolicyView:
+        folder = self._cfg.instance.data_folder
+        is_keeper = config.ROLE_KEEPER in self._cfg.instance.roles
+        cache = None
+        if folder and not is_keeper:
+            cache = pathlib.Path(folder) / policyview.CACHE_NAME
+        store = disk.FileDisk()
+        self._stack.callback(store.close)
+        view = policyview.PolicyView(
+            tokens=self._tokens, cache=cache, store=store
+        )
+        policyview.PolicyPuller(
+            view=view,
+            keepers=_nearest_first(self._cfg, groups),
+            links=self._links,
+            heap=self._heap,
+        )
+        return view
+
     def _open_keeper(self) -> keeper.Keeper | None:
         if config.ROLE_KEEPER not in self._cfg.instance.roles:
             return None
@@ -149,7 +173,7 @@
             client=self._client,
             loop=self._loop,
             heap=self._heap,
-            policies=lambda team: teampolicy.DEFAULT,
+            policies=self._policies.policy,
             registry=self._registry,
             stack=self._stack,
         )
@@ -178,8 +202,10 @@
         ).routes()
         if self._entry is not None:
             routes += self._entry.routes()
-        tokens = auth.TokenBook(credentials=_credentials(self._cfg))
-        router = gateway.Router(routes=routes, tokens=tokens)
+        routes += settingsapi.SettingsApi(
+            view=self._policies, client=self._client
+        ).routes()
+        router = gateway.Router(routes=routes, tokens=self._tokens)
         limits = self._cfg.limits
         guarded = edge.Edge(
             limits=guard.Limits(limits.header_bytes, limits.body_bytes),
@@ -273,9 +299,21 @@
 
 
 def _machine(group: str) -> grouphost.Machine:
+    if group == config.SETTINGS_GROUP:
+        return policies.Policies()
     return keeper.LedgerMachine()
 
 
+def _nearest_first(
+    cfg: config.Settings, groups: dict[str, list[ids.InstanceId]]
+) -> list[ids.InstanceId]:
+    zones = {each.name: each.zone for each in cfg.cluster.keepers}
+    names = list(groups.get(config.SETTINGS_GROUP, ()))
+    random.shuffle(names)
+    names.sort(key=lambda name: zones[name] != cfg.instance.zone)
+    return names
+
+
 def _credentials(cfg: config.Settings) -> list[auth.Credential]:
     return [
         auth.Credential(
--- a/chervilwheel/grouphost.py
+++ b/chervilwheel/grouphost.py
@@ -4,10 +4,10 @@
 import logging
 import typing
 
+from chervilwheel import batches
 from chervilwheel import errors
 from chervilwheel import ids
 from chervilwheel import journal
-from chervilwheel import ledger
 from chervilwheel import messages
 from chervilwheel import replica
 from chervilwheel import timers
@@ -156,8 +156,8 @@
             waiting.append(
                 _Pending(request.number, len(request.commands), respond)
             )
-        batch = ledger.Batch(self._logical_ms(), tuple(commands))
-        data = ledger.CODEC.encode(batch)
+        batch = batches.Batch(self._logical_ms(), tuple(commands))
+        data = batches.CODEC.encode(batch)
         now = self._heap.clock.now()
         index = self.member.propose([data], now)
         self._pending[index] = (self.member.term, waiting)
--- a/chervilwheel/journal.py
+++ b/chervilwheel/journal.py
@@ -75,6 +75,11 @@
     return _HEAD.pack(len(data), zlib.crc32(data)) + data
 
 
+def frame_body(data: bytes) -> bytes | None:
+    """Return the record of the first frame, None when it is damaged."""
+    return _frame_at(data, 0)
+
+
 def read_frames(data: bytes, *, name: str) -> Frames:
     """Read frames up to a torn tail.
 
--- a/chervilwheel/keeper.py
+++ b/chervilwheel/keeper.py
@@ -17,6 +17,8 @@
 from chervilwheel import ledger
 from chervilwheel import messages
 from chervilwheel import peers
+from chervilwheel import policies
+from chervilwheel import policyview
 from chervilwheel import replica
 from chervilwheel import timers
 
@@ -154,6 +156,7 @@
             links.handle(kind, self._on_replica_message)
         links.handle(messages.GroupRequest, self._on_request)
         links.handle(messages.WatchRequest, self._on_watch)
+        links.handle(messages.SettingsPull, self._on_pull)
         heap.every(FORGET_S, self._forget_old)
 
     @property
@@ -242,6 +245,13 @@
 
         machine.watch(message.job, (link, message.number), told)
 
+    def _on_pull(
+        self, link: peers.Link, message: messages.SettingsPull
+    ) -> None:
+        tree = self.machines.get(config.SETTINGS_GROUP)
+        if isinstance(tree, policies.Policies):
+            link.send(policyview.answer_pull(tree, message))
+
     def _forget_old(self) -> None:
         retention_ms = int(self._cfg.limits.retention_s * 1000)
         for group, host in self.hosts.items():
--- a/chervilwheel/ledger.py
+++ b/chervilwheel/ledger.py
@@ -8,6 +8,7 @@
 import enum
 import typing
 
+from chervilwheel import batches
 from chervilwheel import codec
 from chervilwheel import ids
 from chervilwheel import jobs
@@ -94,13 +95,6 @@
     before_ms: int
 
 
-class Batch(typing.NamedTuple):
-    """The commands of one log entry, with the leader's wall time."""
-
-    wall_ms: int
-    commands: tuple[bytes, ...]
-
-
 class JobReply(typing.NamedTuple):
     """What the ledger knows of a submission."""
 
@@ -160,7 +154,6 @@
     schema="records.capnp",
     root="Record",
     kinds=[
-        Batch,
         ClaimCommand,
         IntendCommand,
         RecordCommand,
@@ -225,7 +218,7 @@
 
         :returns: an encoded reply for each command
         """
-        batch = CODEC.decode(data)
+        batch = batches.CODEC.decode(data)
         self.last_wall_ms = max(self.last_wall_ms, batch.wall_ms)
         replies = []
         for command in batch.commands:
--- /dev/null
+++ b/chervilwheel/policies.py
@@ -0,0 +1,381 @@
+"""The settings tree that keepers replicate: documents under paths.
+
+A deterministic state machine. Documents of one team form a subtree; a
+change names the revision it is based on and is refused when its subtree
+has changed since.
+"""
+
+import enum
+import hashlib
+import json
+import re
+import typing
+
+from chervilwheel import batches
+from chervilwheel import codec
+from chervilwheel import errors
+from chervilwheel import grouphost
+from chervilwheel import ids
+from chervilwheel import messages
+
+PATH = re.compile(r"^[a-z0-9-]{1,64}(/[a-z0-9-]{1,64}){0,5}$")
+TEAMS = "teams"
+MAX_TEXT_CHARS = 65_536
+MAX_EDITS = 32
+ANSWERS_KEPT = 5_000
+CHANGES_KEPT = 5_000
+
+
+class ChangeStatus(enum.Enum):
+    """What became of a change."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    REFUSED = "refused"
+    REUSED = "reused"
+
+
+class Edit(typing.NamedTuple):
+    """A document to write or delete."""
+
+    path: str
+    text: str
+    is_delete: bool
+
+
+class ChangeCommand(typing.NamedTuple):
+    """Write documents of one subtree, all or none."""
+
+    change_id: ids.ChangeId
+    author: str
+    base_revision: int
+    edits: tuple[Edit, ...]
+
+
+class RefuseCommand(typing.NamedTuple):
+    """Note a change that was refused before it got here."""
+
+    change_id: ids.ChangeId
+    author: str
+    paths: tuple[str, ...]
+    reason: str
+
+
+class HistoryCommand(typing.NamedTuple):
+    """List the newest changes under a path; empty means all."""
+
+    path: str
+    limit: int
+
+
+class ChangeReply(typing.NamedTuple):
+    """What became of a change, and the revision of its subtree."""
+
+    status: ChangeStatus
+    revision: int
+    detail: str
+
+
+class Change(typing.NamedTuple):
+    """One record of the audit trail.
+
+    ``hash`` covers all other fields, ``previous_hash`` among them.
+    """
+
+    number: int
+    wall_ms: int
+    change_id: ids.ChangeId
+    author: str
+    path: str
+    old: str
+    new: str
+    revision: int
+    status: ChangeStatus
+    detail: str
+    previous_hash: str
+    hash: str
+
+
+class HistoryReply(typing.NamedTuple):
+    """Records of the audit trail, oldest first."""
+
+    changes: tuple[Change, ...]
+
+
+class Answered(typing.NamedTuple):
+    """The answer that a change id was given."""
+
+    change_id: ids.ChangeId
+    digest: str
+    reply: ChangeReply
+    wall_ms: int
+
+
+class PoliciesState(typing.NamedTuple):
+    """The whole tree, as a snapshot holds it."""
+
+    revision: int
+    documents: tuple[messages.Document, ...]
+    answered: tuple[Answered, ...]
+    changes: tuple[Change, ...]
+    last_hash: str
+    change_count: int
+    last_wall_ms: int
+
+
+CODEC = codec.Codec(
+    schema="records.capnp",
+    root="Record",
+    kinds=[
+        ChangeCommand,
+        RefuseCommand,
+        HistoryCommand,
+        ChangeReply,
+        HistoryReply,
+        PoliciesState,
+    ],
+)
+
+
+def subtree_of(path: str) -> str:
+    """Name the subtree that a path belongs to: a team's, or its top."""
+    parts = path.split("/")
+    if parts[0] == TEAMS and len(parts) > 1:
+        return "/".join(parts[:2])
+    return parts[0]
+
+
+def check_edits(edits: typing.Sequence[Edit]) -> str:
+    """Check the form of a change.
+
+    :returns: the subtree that all edits belong to
+    :raises errors.InvalidSettings: saying which edit is wrong
+    """
+    if not 0 < len(edits) <= MAX_EDITS:
+        raise errors.InvalidSettings(f"edits: 1 to {MAX_EDITS} are needed")
+    for edit in edits:
+        if not PATH.match(edit.path):
+            raise errors.InvalidSettings(f"{edit.path!r}: not a path")
+        if len(edit.text) > MAX_TEXT_CHARS:
+            raise errors.InvalidSettings(f"{edit.path}: too long")
+    trees = {subtree_of(edit.path) for edit in edits}
+    if len(trees) > 1:
+        raise errors.InvalidSettings(
+            "a change may touch one subtree only: " + ", ".join(sorted(trees))
+        )
+    if len({edit.path for edit in edits}) < len(edits):
+        raise errors.InvalidSettings("a path stands twice")
+    return trees.pop()
+
+
+def hash_of(change: Change) -> str:
+    """Compute the hash of an audit record."""
+    fields = [
+        each.value if isinstance(each, enum.Enum) else each
+        for each in change[:-1]
+    ]
+    text = json.dumps(fields, separators=(",", ":"))
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def verify(changes: typing.Sequence[Change]) -> None:
+    """Check the hash chain of audit records.
+
+    :raises errors.CorruptData: naming the first record that is wrong
+    """
+    previous = changes[0].previous_hash if changes else ""
+    for change in changes:
+        is_linked = change.previous_hash == previous
+        if not is_linked or change.hash != hash_of(change):
+            raise errors.CorruptData(
+                f"audit record {change.number} is not what was written"
+            )
+        previous = change.hash
+
+
+class Policies(grouphost.Machine):
+    """Apply changes to the settings tree."""
+
+    def __init__(self) -> None:
+        self.load(b"")
+
+    @property
+    def revision(self) -> int:
+        """Revision of the newest accepted change."""
+        return self._revision
+
+    @property
+    def last_wall_ms(self) -> int:
+        """Wall time of the last batch applied, milliseconds."""
+        return self._last_wall_ms
+
+    def apply(self, data: bytes) -> list[bytes]:
+        """Apply the batch of one log entry."""
+        batch = batches.CODEC.decode(data)
+        self._last_wall_ms = max(self._last_wall_ms, batch.wall_ms)
+        return [
+            CODEC.encode(self.run(CODEC.decode(each), batch.wall_ms))
+            for each in batch.commands
+        ]
+
+    def run(self, command: typing.Any, wall_ms: int) -> typing.Any:
+        """Apply one command."""
+        handlers: dict[type, typing.Callable[..., typing.Any]] = {
+            ChangeCommand: self._change,
+            RefuseCommand: self._refuse,
+            HistoryCommand: self._history,
+        }
+        return handlers[type(command)](command, wall_ms)
+
+    def since(self, revision: int) -> list[messages.Document]:
+        """List documents changed after a revision, deleted ones too."""
+        return [
+            each
+            for each in self._documents.values()
+            if each.revision > revision
+        ]
+
+    def digest(self) -> bytes:
+        """Hash all documents."""
+        if self._digest is None:
+            self._digest = digest_of(self._documents.values())
+        return self._digest
+
+    def dump(self) -> bytes:
+        """Encode the whole tree."""
+        return CODEC.encode(
+            PoliciesState(
+                self._revision,
+                tuple(self._documents.values()),
+                tuple(self._answered.values()),
+                tuple(self._changes),
+                self._last_hash,
+                self._change_count,
+                self._last_wall_ms,
+            )
+        )
+
+    def load(self, data: bytes) -> None:
+        """Take over an encoded tree."""
+        state = PoliciesState(0, (), (), (), "", 0, 0)
+        if data:
+            state = CODEC.decode(data)
+        self._digest: bytes | None = None
+        self._revision = state.revision
+        self._documents = {each.path: each for each in state.documents}
+        self._answered = {each.change_id: each for each in state.answered}
+        self._changes = list(state.changes)
+        self._last_hash = state.last_hash
+        self._change_count = state.change_count
+        self._last_wall_ms = state.last_wall_ms
+
+    def _change(self, command: ChangeCommand, wall_ms: int) -> ChangeReply:
+        digest = _command_digest(command)
+        known = self._answered.get(command.change_id)
+        if known is not None:
+            if known.digest == digest:
+                return known.reply
+            return ChangeReply(
+                ChangeStatus.REUSED, 0, "the change id stands for another"
+            )
+        reply = self._decide(command, wall_ms)
+        self._answered[command.change_id] = Answered(
+            command.change_id, digest, reply, wall_ms
+        )
+        while len(self._answered) > ANSWERS_KEPT:
+            del self._answered[next(iter(self._answered))]
+        return reply
+
+    def _decide(self, command: ChangeCommand, wall_ms: int) -> ChangeReply:
+        try:
+            subtree = check_edits(command.edits)
+        except errors.InvalidSettings as exc:
+            reply = ChangeReply(ChangeStatus.REFUSED, 0, exc.detail)
+            self._audit(command, command.edits, reply, wall_ms)
+            return reply
+        newest = self._newest(subtree)
+        if command.base_revision < newest:
+            detail = f"{subtree} is at revision {newest}"
+            reply = ChangeReply(ChangeStatus.CONFLICT, newest, detail)
+            self._audit(command, command.edits, reply, wall_ms)
+            return reply
+        self._revision += 1
+        self._digest = None
+        reply = ChangeReply(ChangeStatus.ACCEPTED, self._revision, "")
+        self._audit(command, command.edits, reply, wall_ms)
+        for edit in command.edits:
+            self._documents[edit.path] = messages.Document(
+                edit.path,
+                "" if edit.is_delete else edit.text,
+                self._revision,
+                edit.is_delete,
+            )
+        return reply
+
+    def _newest(self, subtree: str) -> int:
+        revisions = [
+            each.revision
+            for each in self._documents.values()
+            if subtree_of(each.path) == subtree
+        ]
+        return max(revisions, default=0)
+
+    def _refuse(self, command: RefuseCommand, wall_ms: int) -> ChangeReply:
+        reply = ChangeReply(ChangeStatus.REFUSED, 0, command.reason)
+        edits = [Edit(path, "", False) for path in command.paths]
+        self._audit(command, edits, reply, wall_ms)
+        return reply
+
+    def _history(self, command: HistoryCommand, _wall_ms: int) -> HistoryReply:
+        prefix = command.path
+        matching = [
+            each
+            for each in self._changes
+            if not prefix
+            or each.path == prefix
+            or each.path.startswith(prefix + "/")
+        ]
+        return HistoryReply(tuple(matching[-command.limit :]))
+
+    def _audit(
+        self,
+        command: ChangeCommand | RefuseCommand,
+        edits: typing.Sequence[Edit],
+        reply: ChangeReply,
+        wall_ms: int,
+    ) -> None:
+        for edit in edits:
+            known = self._documents.get(edit.path)
+            self._change_count += 1
+            change = Change(
+                number=self._change_count,
+                wall_ms=wall_ms,
+                change_id=command.change_id,
+                author=command.author,
+                path=edit.path,
+                old=known.text if known else "",
+                new=edit.text,
+                revision=reply.revision,
+                status=reply.status,
+                detail=reply.detail,
+                previous_hash=self._last_hash,
+                hash="",
+            )
+            change = change._replace(hash=hash_of(change))
+            self._last_hash = change.hash
+            self._changes.append(change)
+        del self._changes[:-CHANGES_KEPT]
+
+
+def digest_of(documents: typing.Iterable[messages.Document]) -> bytes:
+    """Hash documents, in the order of their paths."""
+    rows = sorted(
+        [each.path, each.text, each.revision, each.is_deleted]
+        for each in documents
+    )
+    return hashlib.sha256(json.dumps(rows).encode()).digest()
+
+
+def _command_digest(command: ChangeCommand) -> str:
+    text = json.dumps([command.base_revision, command.edits])
+    return hashlib.sha256(text.encode()).hexdigest()
--- a/chervilwheel/schema/records.capnp
+++ b/chervilwheel/schema/records.capnp
@@ -137,6 +137,7 @@
   status @8 :Text;
   detail @9 :Text;
   previousHash @10 :Text;
+  hash @11 :Text;
 }
 
 struct Answered {
@@ -153,6 +154,7 @@
   changes @3 :List(Change);
   lastHash @4 :Text;
   changeCount @5 :UInt64;
+  lastWallMs @6 :UInt64;
 }
 
 struct Record {
--- /dev/null
+++ b/chervilwheel/settingsapi.py
@@ -0,0 +1,183 @@
+"""The HTTP interface for the replicated settings and their audit."""
+
+import typing
+
+from chervilwheel import config
+from chervilwheel import errors
+from chervilwheel import gateway
+from chervilwheel import groupclient
+from chervilwheel import ids
+from chervilwheel import policies
+from chervilwheel import policyview
+
+GIVE_UP_S = 5.0
+RETRY_AFTER_S = 1.0
+MAX_ROWS = 1000
+
+
+class SettingsApi:
+    """Read and change settings; a team only its own subtree.
+
+    :param view: this instance's copy of the settings
+    :param client: asks the replica groups
+    """
+
+    def __init__(
+        self,
+        *,
+        view: policyview.PolicyView,
+        client: groupclient.GroupClient,
+    ) -> None:
+        self._view = view
+        self._client = client
+
+    def routes(self) -> list[gateway.Route]:
+        """List what is offered."""
+        return [
+            gateway.Route("GET", ("v1", "settings"), self._list),
+            gateway.Route("POST", ("v1", "settings"), self._change),
+            gateway.Route("GET", ("v1", "audit"), self._audit),
+        ]
+
+    def _list(self, exchange: gateway.Exchange) -> None:
+        prefix = self._allowed_prefix(exchange)
+        rows = [
+            {
+                "path": each.path,
+                "text": each.text,
+                "revision": each.revision,
+            }
+            for each in self._view.documents.values()
+            if not each.is_deleted and _is_under(each.path, prefix)
+        ]
+        rows.sort(key=lambda row: row["path"])
+        exchange.reply(
+            200, {"revision": self._view.revision, "documents": rows}
+        )
+
+    def _change(self, exchange: gateway.Exchange) -> None:
+        command = _parse_change(exchange)
+        paths = tuple(edit.path for edit in command.edits)
+        try:
+            subtree = policies.check_edits(command.edits)
+            self._require_subtree(exchange, subtree)
+            for edit in command.edits:
+                if not edit.is_delete:
+                    policyview.check_document(edit.path, edit.text)
+        except errors.ChervilwheelError as exc:
+            self._note_refusal(command, paths, exc)
+            raise
+
+        def done(data: bytes | None) -> None:
+            if data is None:
+                exchange.fail(
+                    errors.OutcomeUnknown(
+                        "the keepers did not answer; send the same"
+                        " change id again",
+                        retry_after_s=RETRY_AFTER_S,
+                    )
+                )
+            else:
+                _reply_change(exchange, policies.CODEC.decode(data))
+
+        self._ask(command, done)
+
+    def _audit(self, exchange: gateway.Exchange) -> None:
+        prefix = self._allowed_prefix(exchange)
+        limit = int(min(MAX_ROWS, exchange.number("limit", 100)))
+        command = policies.HistoryCommand(prefix, max(1, limit))
+
+        def done(data: bytes | None) -> None:
+            if data is None:
+                exchange.fail(
+                    errors.OutcomeUnknown(
+                        "the keepers did not answer",
+                        retry_after_s=RETRY_AFTER_S,
+                    )
+                )
+                return
+            changes = policies.CODEC.decode(data).changes
+            rows = [
+                {**each._asdict(), "status": each.status.value}
+                for each in changes
+            ]
+            exchange.reply(200, {"changes": rows})
+
+        self._ask(command, done)
+
+    def _ask(self, command: typing.Any, done: groupclient.Done) -> None:
+        data = policies.CODEC.encode(command)
+        self._client.ask(config.SETTINGS_GROUP, data, GIVE_UP_S, done)
+
+    def _note_refusal(
+        self,
+        command: policies.ChangeCommand,
+        paths: tuple[str, ...],
+        exc: errors.ChervilwheelError,
+    ) -> None:
+        refusal = policies.RefuseCommand(
+            command.change_id, command.author, paths, exc.detail
+        )
+        self._ask(refusal, lambda _: None)
+
+    @staticmethod
+    def _require_subtree(exchange: gateway.Exchange, subtree: str) -> None:
+        if not exchange.who.is_operator:
+            own = f"{policies.TEAMS}/{exchange.who.team}"
+            if subtree != own:
+                raise errors.Forbidden(f"only {own} may be changed")
+
+    @staticmethod
+    def _allowed_prefix(exchange: gateway.Exchange) -> str:
+        prefix = exchange.query.get("path", "")
+        if exchange.who.is_operator:
+            return prefix
+        own = f"{policies.TEAMS}/{exchange.who.team}"
+        if prefix and not _is_under(prefix, own):
+            raise errors.Forbidden(f"only {own} may be read")
+        return prefix or own
+
+
+def _is_under(path: str, prefix: str) -> bool:
+    return not prefix or path == prefix or path.startswith(prefix + "/")
+
+
+def _parse_change(exchange: gateway.Exchange) -> policies.ChangeCommand:
+    table = exchange.table()
+    change_id = table.get("change_id")
+    base = table.get("base_revision")
+    rows = table.get("edits")
+    if not isinstance(change_id, str) or not ids.KEY.match(change_id):
+        raise errors.InvalidRequest("change_id: a key is needed")
+    if type(base) is not int or not 0 <= base < 1 << 62:
+        raise errors.InvalidRequest("base_revision: a number is needed")
+    if not isinstance(rows, list):
+        raise errors.InvalidRequest("edits: a list is needed")
+    edits = tuple(_parse_edit(row) for row in rows)
+    return policies.ChangeCommand(
+        ids.ChangeId(change_id), exchange.who.name, base, edits
+    )
+
+
+def _parse_edit(row: typing.Any) -> policies.Edit:
+    if not isinstance(row, dict) or not isinstance(row.get("path"), str):
+        raise errors.InvalidRequest("edits: each needs a path")
+    text = row.get("text")
+    if text is not None and not isinstance(text, str):
+        raise errors.InvalidRequest("edits: text is a string or null")
+    return policies.Edit(row["path"], text or "", text is None)
+
+
+def _reply_change(
+    exchange: gateway.Exchange, reply: policies.ChangeReply
+) -> None:
+    if reply.status is policies.ChangeStatus.ACCEPTED:
+        exchange.reply(
+            200, {"status": reply.status.value, "revision": reply.revision}
+        )
+    elif reply.status is policies.ChangeStatus.CONFLICT:
+        exchange.fail(errors.Conflict(reply.detail))
+    elif reply.status is policies.ChangeStatus.REUSED:
+        exchange.fail(errors.KeyReused(reply.detail))
+    else:
+        exchange.fail(errors.InvalidSettings(reply.detail))
--- a/loadtool/cluster.py
+++ b/loadtool/cluster.py
@@ -266,7 +266,8 @@
             for node in self.entries:
                 _, table = self.call(node, "GET", "/v1/endpoints")
                 known = (table or {}).get("endpoints", [])
-                if len(known) < len(self.executors):
+                place = self.plan.zones.index(node.zone)
+                if len(known) < self.plan.executors[place]:
                     return False
             return True
 
--- a/loadtool/runner.py
+++ b/loadtool/runner.py
@@ -120,5 +120,5 @@
             for role, used in cpu_by_role.items()
         },
         "rss_mb": {role: round(mb, 1) for role, mb in by_role.items()},
-        "broken": verdict.broken,
+        "broken": {**verdict.broken, **state.broken},
     }
--- a/loadtool/scenarios.py
+++ b/loadtool/scenarios.py
@@ -25,6 +25,7 @@
     rng: random.Random
     cut_in_flight: int = 0
     settings_in_force_s: float | None = None
+    broken: dict[str, int] = dataclasses.field(default_factory=dict)
 
     async def at(self, share: float) -> None:
         """Wait until a share of the run has gone by."""
@@ -148,6 +149,58 @@
     await asyncio.gather(_kill_entry(run), _kill_keeper(run))
 
 
+async def _settings_race(run: Run) -> None:
+    """Let operators race with equal revisions and resend changes."""
+    path = f"teams/{layout.TEAM}/policy"
+    slowest = 0.0
+    for turn in range(8):
+        _, table = await run.in_thread(
+            run.target.call, run.target.entries[0], "GET", "/v1/settings"
+        )
+        base = (table or {}).get("revision", 0)
+        nodes = [run.rng.choice(run.target.entries) for _ in range(3)]
+        bodies = [
+            {
+                "change_id": f"race-{turn}-{place}",
+                "base_revision": base,
+                "edits": [{"path": path, "text": f"weight = {place + 1}.0"}],
+            }
+            for place in range(len(nodes))
+        ]
+        replies = await asyncio.gather(
+            *(
+                run.in_thread(
+                    run.target.call, node, "POST", "/v1/settings", body
+                )
+                for node, body in zip(nodes * 2, bodies * 2, strict=True)
+            )
+        )
+        accepted = {
+            place % len(nodes)
+            for place, (status, _) in enumerate(replies)
+            if status == 200
+        }
+        if len(accepted) > 1:
+            run.broken["settings_two_winners"] = 1
+        slowest = max(slowest, await _in_force_s(run, base))
+    run.settings_in_force_s = round(slowest, 3)
+
+
+async def _in_force_s(run: Run, base: int) -> float:
+    """Wait until every entry instance is past a revision."""
+    started = asyncio.get_running_loop().time()
+    waiting = list(run.target.entries)
+    while waiting:
+        _, table = await run.in_thread(
+            run.target.call, waiting[0], "GET", "/v1/settings"
+        )
+        if (table or {}).get("revision", 0) > base:
+            waiting.pop(0)
+        else:
+            await asyncio.sleep(0.02)
+    return asyncio.get_running_loop().time() - started
+
+
 def _leader(run: Run) -> layout.Node:
     """Find the keeper that leads the first zone's ledger."""
     group = f"ledger.{run.target.plan.zones[0]}"
@@ -289,6 +342,13 @@
             _FAULTS,
             _cut_zone,
         ),
+        Scenario(
+            "settings-race",
+            "operators race with equal revisions and resend",
+            _ONE,
+            _FAULTS,
+            _settings_race,
+        ),
         Scenario(
             "double-fault",
             "an entry instance and the leader are killed together",
