Hand leadership on until someone has it, and stop waiting after 3 s

Ruled out: ending at once (a follower that is one entry behind would cost an election).

Change: a stopping keeper offers leadership every 0.1 s, stands for election late, and ends after 3 s at most.

--- a/chervilwheel/daemon.py
+++ b/chervilwheel/daemon.py
@@ -45,6 +45,7 @@
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 EXIT_AT_ONCE = 3
+KEEPER_DRAIN_S = 3.0
 
 
 class Daemon(circuits.BaseComponent):
@@ -183,7 +184,9 @@
         return drain.Drain(
             heap=self._heap,
             notice_s=limits.drain_notice_s if self._entry else 0.0,
-            timeout_s=limits.drain_timeout_s,
+            timeout_s=limits.drain_timeout_s
+            if self._entry
+            else KEEPER_DRAIN_S,
             on_notice=self._on_notice,
             on_refuse=self._on_refuse,
             in_flight=self._in_flight,
--- a/chervilwheel/keeper.py
+++ b/chervilwheel/keeper.py
@@ -26,6 +26,7 @@
 IDENTITY_NAME = "identity.toml"
 FOUNDING_DISK = "founding"
 FORGET_S = 60.0
+RESIGN_S = 0.1
 
 Watcher = tuple[typing.Any, int]
 Told = typing.Callable[[bytes], None]
@@ -168,9 +169,11 @@
         )
 
     def resign(self) -> None:
-        """Hand leadership on everywhere."""
+        """Hand leadership on everywhere, as often as it takes."""
         for host in self.hosts.values():
             host.resign()
+        if self.leading:
+            self._heap.call_later(RESIGN_S, self.resign)
 
     def _open(self, group: str, folder: pathlib.Path) -> grouphost.GroupHost:
         book = journal.Journal(
--- a/chervilwheel/replica.py
+++ b/chervilwheel/replica.py
@@ -322,7 +322,11 @@
         return snapshot
 
     def resign(self, now: float) -> None:
-        """Hand leadership to the member that is furthest, if there is one."""
+        """Hand leadership to the member that is furthest, if there is one.
+
+        From now on this member stands for election late only.
+        """
+        self._is_reluctant = True
         if not self.is_leader:
             return
         self._transfer(list(self.config.voters), now)
