--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -232,7 +232,8 @@
                 [*args, "--settings", str(nodes[0].settings)],
                 stderr=subprocess.PIPE,
             ) as proc:
-                self.assertIn(b"started", proc.stderr.readline())
+                while b"daemon: started" not in proc.stderr.readline():
+                    self.assertIsNone(proc.poll())
                 proc.send_signal(signal.SIGTERM)
                 proc.stderr.read()
                 self.assertEqual(0, proc.wait(WAIT_S))
