Command line of its nouns; compact renewals; cheaper slot book

Ruled out: fewer announcements (an endpoint that died must be known within 3 s); an owner for each service (the cost is in the scan, not in the number of services).

Change: endpoints listed by service, ejected ones counted only when one is to be ejected, goods counted as they come; renewals name endpoint, version and load only, whole ones every 5 s. Command line split by noun.

--- /dev/null
+++ b/chervilwheel/apiclient.py
@@ -0,0 +1,90 @@
+"""A small client of the HTTP interface, for the command line."""
+
+import http.client
+import json
+import typing
+import urllib.parse
+
+from chervilwheel import errors
+
+KEY_HEADER = "Idempotency-Key"
+MAX_BYTES = 64 * 1024 * 1024
+
+
+class Reply(typing.NamedTuple):
+    """A status and the decoded body."""
+
+    status: int
+    body: typing.Any
+
+    @property
+    def is_ok(self) -> bool:
+        """Whether the request was accepted."""
+        return 200 <= self.status < 300
+
+
+class ApiClient:
+    """Call one entry instance.
+
+    :param address: its HTTP address, host:port
+    :param token: the bearer token
+    :param timeout_s: time to wait for an answer, seconds
+    """
+
+    def __init__(
+        self, *, address: str, token: str, timeout_s: float = 60.0
+    ) -> None:
+        self._address = address
+        self._token = token
+        self._timeout_s = timeout_s
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: typing.Any = None,
+        *,
+        key: str | None = None,
+        query: typing.Mapping[str, typing.Any] | None = None,
+    ) -> Reply:
+        """Make one request.
+
+        :raises errors.OutcomeUnknown: when no whole answer came
+        """
+        if query:
+            path += "?" + urllib.parse.urlencode(query)
+        headers = {"Authorization": f"Bearer {self._token}"}
+        if key is not None:
+            headers[KEY_HEADER] = key
+        data = None
+        if body is not None:
+            data = json.dumps(body).encode()
+            headers["Content-Type"] = "application/json"
+        host, _, port = self._address.rpartition(":")
+        conn = http.client.HTTPConnection(
+            host, int(port or 0), timeout=self._timeout_s
+        )
+        try:
+            conn.request(method, path, body=data, headers=headers)
+            res = conn.getresponse()
+            return Reply(res.status, _decode(res.read(MAX_BYTES)))
+        except (OSError, http.client.HTTPException, ValueError) as exc:
+            raise errors.OutcomeUnknown(
+                f"{self._address}: no whole answer ({exc});"
+                " send the same id again"
+            ) from exc
+        finally:
+            conn.close()
+
+
+def quote(part: str) -> str:
+    """Write a name as one part of a path."""
+    return urllib.parse.quote(part, safe="")
+
+
+def _decode(data: bytes) -> typing.Any:
+    text = data.decode()
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text
--- a/chervilwheel/commands.py
+++ b/chervilwheel/commands.py
@@ -1,54 +1,116 @@
-"""The operators' and callers' command line."""
+"""The command line of callers and operators.
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 not run, 4 outcome
+unknown, 5 refused or in conflict.
+"""
 
 import dataclasses
-import pathlib
-import sys
+import typing
 
 import cappa
 
-from chervilwheel import disk
+from chervilwheel import _cli
+from chervilwheel import clustercommands as cluster
+from chervilwheel import datacommands as data
 from chervilwheel import errors
-from chervilwheel import keeper
-
-EXIT_FAILED = 1
-
-
-@cappa.command(name="found", help="Prepare the data folder of a keeper.")
-@dataclasses.dataclass
-class DataFound:
-    """Prepare the data folder of a new cluster's keeper."""
-
-    folder: pathlib.Path
-
-    def __call__(self) -> None:
-        """Write the founding identity."""
-        keeper.found(self.folder, disk.FileDisk())
-        print(f"founded {self.folder}")
-
-
-@cappa.command(name="data", help="Data folders of keepers, offline.")
-@dataclasses.dataclass
-class Data:
-    """Data folders of keepers, offline."""
-
-    action: cappa.Subcommands[DataFound]
+from chervilwheel import jobcommands as jobs
+from chervilwheel import output
+from chervilwheel import settingscommands as settings
+
+
+def _group(name: str, text: str, *actions: type) -> type:
+    """Make a noun that holds its verbs."""
+    union = typing.Union[actions]  # noqa: UP007
+    kind = dataclasses.make_dataclass(
+        name.capitalize(), [("action", cappa.Subcommands[union])]
+    )
+    kind.__doc__ = text
+    return cappa.command(name=name, help=text)(kind)
+
+
+Submission = _group("submission", "Submission ids.", jobs.SubmissionMint)
+Job = _group(
+    "job",
+    "Jobs.",
+    jobs.JobSubmit,
+    jobs.JobShow,
+    jobs.JobWait,
+    jobs.JobCancel,
+)
+Team = _group(
+    "team",
+    "Teams and their policies.",
+    settings.TeamList,
+    settings.TeamShow,
+    settings.TeamSet,
+)
+Settings = _group(
+    "settings",
+    "Replicated settings.",
+    settings.SettingsGet,
+    settings.SettingsSet,
+    settings.SettingsDelete,
+    settings.SettingsHistory,
+    settings.SettingsCheck,
+)
+Audit = _group(
+    "audit",
+    "The audit trail.",
+    settings.AuditTail,
+    settings.AuditVerify,
+)
+Endpoint = _group("endpoint", "Endpoints.", cluster.EndpointList)
+Member = _group(
+    "member",
+    "Instances.",
+    cluster.MemberList,
+    cluster.MemberDrain,
+)
+Keeper = _group("keeper", "Keepers.", cluster.KeeperStatus)
+Data = _group(
+    "data",
+    "Data folders, offline.",
+    data.DataFound,
+    data.DataInspect,
+    data.DataVerify,
+)
 
 
 @cappa.command(name="chervilwheel")
 @dataclasses.dataclass
 class Chervilwheel:
-    """Drive a chervilwheel cluster."""
-
-    command: cappa.Subcommands[Data]
+    """Drive a chervilwheel cluster.
+
+    CHERVILWHEEL_SERVER names the instance (host:port) and
+    CHERVILWHEEL_TOKEN holds the bearer token.
+    """
+
+    command: cappa.Subcommands[
+        Submission
+        | Job
+        | Team
+        | Settings
+        | Audit
+        | Endpoint
+        | Member
+        | Keeper
+        | cluster.Metrics
+        | cluster.Health
+        | Data
+    ]
 
 
 def main() -> None:
     """Run one command."""
     try:
         cappa.invoke(Chervilwheel)
+    except errors.OutcomeUnknown as exc:
+        hint = _cli.HINTS[_cli.EXIT_UNKNOWN]
+        output.complain(exc.detail, hint=hint)
+        raise SystemExit(_cli.EXIT_UNKNOWN) from exc
     except errors.ChervilwheelError as exc:
-        print(f"chervilwheel: {exc.detail}", file=sys.stderr)
-        raise SystemExit(EXIT_FAILED) from exc
+        output.complain(exc.detail)
+        raise SystemExit(_cli.EXIT_FAILED) from exc
 
 
 if __name__ == "__main__":
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -122,10 +122,19 @@
     age_s: float
 
 
+class Renewal(typing.NamedTuple):
+    """An announcement that changes nothing but what it names."""
+
+    endpoint: ids.EndpointId
+    version: int
+    busy: int
+
+
 class EndpointNews(typing.NamedTuple):
     """Announcements that an instance took from endpoints."""
 
     announcements: tuple[Announcement, ...]
+    renewals: tuple[Renewal, ...]
 
 
 class Want(typing.NamedTuple):
--- a/chervilwheel/outliers.py
+++ b/chervilwheel/outliers.py
@@ -26,16 +26,35 @@
 class _Record:
     """What is remembered of one endpoint."""
 
-    __slots__ = ("results", "standing", "until", "times", "trial_goods")
+    __slots__ = ("results", "goods", "standing", "until", "times", "trial")
 
     def __init__(self) -> None:
-        self.results: collections.deque[bool] = collections.deque(
-            maxlen=WINDOW
-        )
+        self.results: collections.deque[bool] = collections.deque()
+        self.goods = 0
         self.standing = Standing.TRUSTED
         self.until = 0.0
         self.times = 0
-        self.trial_goods = 0
+        self.trial = 0
+
+    def add(self, is_good: bool, count: int) -> None:
+        """Note results, forgetting the oldest."""
+        for _ in range(min(count, WINDOW)):
+            self.results.append(is_good)
+            self.goods += is_good
+            if len(self.results) > WINDOW:
+                self.goods -= self.results.popleft()
+
+    @property
+    def is_bad(self) -> bool:
+        """Whether enough of the recent results are bad."""
+        count = len(self.results)
+        bad = count - self.goods
+        return count >= LEAST_RESULTS and bad >= BAD_SHARE * count
+
+    def clear(self) -> None:
+        """Forget all results."""
+        self.results.clear()
+        self.goods = 0
 
 
 class Outliers:
@@ -54,25 +73,24 @@
         *,
         good: int,
         bad: int,
-        group_size: int,
-        ejected: int,
+        alike: typing.Callable[[], typing.Collection[ids.EndpointId]],
         now: float,
     ) -> bool:
         """Take in how tasks on an endpoint ended.
 
-        :param group_size: endpoints that offer the same service
-        :param ejected: how many of them are ejected
+        :param alike: lists the endpoints that offer the same service
         :returns: whether the endpoint was ejected by it
         """
         record = self._records.setdefault(endpoint, _Record())
-        record.results.extend([True] * min(good, WINDOW))
-        record.results.extend([False] * min(bad, WINDOW))
+        record.add(True, good)
+        record.add(False, bad)
         if record.standing is Standing.TRIAL:
             return self._judge_trial(record, good, bad, now)
-        if record.standing is Standing.EJECTED:
+        if record.standing is Standing.EJECTED or not record.is_bad:
             return False
-        may_eject = ejected + 1 <= max(1, group_size * EJECTED_SHARE)
-        if group_size < 2 or not may_eject or not _is_bad(record):
+        names = alike()
+        most = max(1, len(names) * EJECTED_SHARE)
+        if len(names) < 2 or self.ejected(names, now) + 1 > most:
             return False
         self._eject(record, now)
         return True
@@ -84,7 +102,7 @@
             return Standing.TRUSTED
         if record.standing is Standing.EJECTED and now >= record.until:
             record.standing = Standing.TRIAL
-            record.trial_goods = 0
+            record.trial = 0
         return record.standing
 
     def success_share(self, endpoint: ids.EndpointId) -> float:
@@ -92,7 +110,7 @@
         record = self._records.get(endpoint)
         if record is None or not record.results:
             return 1.0
-        return sum(record.results) / len(record.results)
+        return record.goods / len(record.results)
 
     def forget(self, endpoint: ids.EndpointId) -> None:
         """Forget an endpoint that left."""
@@ -112,10 +130,10 @@
         if bad:
             self._eject(record, now)
             return True
-        record.trial_goods += good
-        if record.trial_goods >= TRIAL_GOODS:
+        record.trial += good
+        if record.trial >= TRIAL_GOODS:
             record.standing = Standing.TRUSTED
-            record.results.clear()
+            record.clear()
             record.times = 0
         return False
 
@@ -125,9 +143,3 @@
         record.times += 1
         record.standing = Standing.EJECTED
         record.until = now + length_s
-
-
-def _is_bad(record: _Record) -> bool:
-    count = len(record.results)
-    bad = count - sum(record.results)
-    return count >= LEAST_RESULTS and bad >= BAD_SHARE * count
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -147,7 +147,12 @@
   ageS @16 :Float64;
 }
 
-struct EndpointNews { announcements @0 :List(Announcement); }
+struct Renewal { endpoint @0 :Text; version @1 :UInt64; busy @2 :UInt32; }
+
+struct EndpointNews {
+  announcements @0 :List(Announcement);
+  renewals @1 :List(Renewal);
+}
 
 struct Want {
   service @0 :Text;
--- a/chervilwheel/slots.py
+++ b/chervilwheel/slots.py
@@ -82,6 +82,7 @@
         self._zone_count = max(1, zone_count)
         self._rng = rng
         self._pools: dict[ids.EndpointId, _slotstate.Pool] = {}
+        self._by_service: dict[ids.ServiceId, list[ids.EndpointId]] = {}
         self._holders: dict[ids.InstanceId, _slotstate.Holder] = {}
         self._buckets: dict[ids.TeamId, _slotstate.Bucket] = {}
         self._usage: Usage = collections.Counter()
@@ -105,6 +106,10 @@
         for name in [each for each in self._pools if each not in names]:
             del self._pools[name]
             self.outliers.forget(name)
+        self._by_service = {}
+        for name, pool in self._pools.items():
+            service = pool.endpoint.service
+            self._by_service.setdefault(service, []).append(name)
 
     def report(
         self,
@@ -227,10 +232,8 @@
 
     def _choices(self, service: ids.ServiceId, now: float) -> list[_Choice]:
         choices = []
-        for name, pool in self._pools.items():
-            if pool.endpoint.service != service:
-                continue
-            free = self._free(pool, now)
+        for name in self._by_service.get(service, ()):
+            free = self._free(self._pools[name], now)
             if free > 0:
                 choices.append(self._choice(name, free))
         heapq.heapify(choices)
@@ -397,17 +400,12 @@
         bad = release.bad + release.slow
         if pool is None or not (release.good or bad):
             return
-        alike = [
-            name
-            for name, other in self._pools.items()
-            if other.endpoint.service == pool.endpoint.service
-        ]
+        service = pool.endpoint.service
         self.outliers.note(
             release.endpoint,
             good=release.good,
             bad=bad,
-            group_size=len(alike),
-            ejected=self.outliers.ejected(alike, now),
+            alike=lambda: self._by_service[service],
             now=now,
         )
 
--- a/chervilwheel/zoneowner.py
+++ b/chervilwheel/zoneowner.py
@@ -14,6 +14,7 @@
 from chervilwheel import timers
 
 NEWS_S = 0.1
+WHOLE_NEWS_S = 5.0
 LOAD_S = 0.25
 SWEEP_S = 0.25
 SETTLE_S = 0.5
@@ -68,6 +69,9 @@
         self._owned_since = 0.0
         self._loads: dict[ids.ZoneId, _HeardLoad] = {}
         self._news: dict[ids.EndpointId, directory.Endpoint] = {}
+        self._sent_whole: dict[
+            ids.EndpointId, tuple[directory.Endpoint, float]
+        ] = {}
         self._is_flush_due = False
         self._is_allocate_due = False
         self._members: set[ids.InstanceId] = set()
@@ -137,6 +141,8 @@
         """Take in that the membership view changed."""
         live = {info.name for info in self._view.live()}
         gone = self._members - live
+        if live - self._members:
+            self._sent_whole = {}
         self._members = live
         self._update_ownership()
         if self.book is not None:
@@ -245,24 +251,53 @@
         if not self._news:
             return
         news, self._news = self._news, {}
-        message = messages.EndpointNews(
-            tuple(_announcement(each) for each in news.values())
-        )
+        now = self._clock.now()
+        whole = []
+        renewals = []
+        for endpoint in news.values():
+            if self._is_known_outside(endpoint, now):
+                renewals.append(
+                    messages.Renewal(
+                        endpoint.endpoint, endpoint.version, endpoint.busy
+                    )
+                )
+            else:
+                whole.append(announcement(endpoint))
+        message = messages.EndpointNews(tuple(whole), tuple(renewals))
         for info in self._view.live(zone=self._zone):
             if info.is_entry and info.name != self._me:
                 self._links.send(info.name, message)
 
+    def _is_known_outside(
+        self, endpoint: directory.Endpoint, now: float
+    ) -> bool:
+        """Tell whether a renewal is enough; a whole one goes now and then."""
+        alike = endpoint._replace(version=0, busy=0)
+        sent, at = self._sent_whole.get(endpoint.endpoint, (None, 0.0))
+        if sent == alike and now - at < WHOLE_NEWS_S:
+            return True
+        self._sent_whole[endpoint.endpoint] = (alike, now)
+        return False
+
     def _on_news(self, _: peers.Link, news: messages.EndpointNews) -> None:
         now = self._clock.now()
         changed = False
         for each in news.announcements:
             endpoint = _endpoint(each)
             changed |= self._known.merge(endpoint, age_s=each.age_s, now=now)
+        for renewal in news.renewals:
+            known = self._known.get(renewal.endpoint)
+            if known is not None:
+                endpoint = known._replace(
+                    version=renewal.version, busy=renewal.busy
+                )
+                changed |= self._known.merge(endpoint, age_s=0.0, now=now)
         if changed:
             self._refresh_book()
 
 
-def _announcement(endpoint: directory.Endpoint) -> messages.Announcement:
+def announcement(endpoint: directory.Endpoint) -> messages.Announcement:
+    """Write an endpoint as a message."""
     fields = endpoint._asdict()
     address = fields.pop("address")
     return messages.Announcement(
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples."""
--- a/loadtool/cluster.py
+++ b/loadtool/cluster.py
@@ -134,6 +134,7 @@
         body: typing.Any = None,
         *,
         token: str = layout.OPERATOR_TOKEN,
+        key: str | None = None,
         timeout_s: float = 5.0,
     ) -> tuple[int, typing.Any]:
         """Make one HTTP request to a daemon.
@@ -146,6 +147,8 @@
             f"http://{node.http}{path}", data=data, method=method
         )
         req.add_header("Authorization", f"Bearer {token}")
+        if key is not None:
+            req.add_header("Idempotency-Key", key)
         try:
             with urllib.request.urlopen(req, timeout=timeout_s) as res:
                 return res.status, _decode(res.read())
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -309,18 +309,18 @@
                     name,
                     good=0,
                     bad=1,
-                    group_size=9,
-                    ejected=book.ejected(names, 0.0),
+                    alike=lambda: names,
                     now=0.0,
                 )
         self.assertEqual(3, book.ejected(names, 0.0))
 
     def test_trial_on_return_and_longer_ejection_after_a_bad_one(self):
         book = outliers.Outliers()
+        names = [f"e{n}" for n in range(9)]
 
         def note(good, bad, now):
             return book.note(
-                "e", good=good, bad=bad, group_size=9, ejected=0, now=now
+                "e", good=good, bad=bad, alike=lambda: names, now=now
             )
 
         self.assertTrue(note(0, 10, 0.0))
