--- a/chervilwheel/daemon.py
+++ b/chervilwheel/daemon.py
@@ -2,6 +2,7 @@
 
 import argparse
 import contextlib
+import gc
 import logging
 import pathlib
 import random
@@ -46,6 +47,7 @@
 EXIT_SETTINGS = 2
 EXIT_AT_ONCE = 3
 KEEPER_DRAIN_S = 3.0
+GC_THRESHOLDS = (20_000, 20, 50)
 
 
 class Daemon(circuits.BaseComponent):
@@ -339,6 +341,11 @@
     except (errors.ChervilwheelError, OSError) as exc:
         print(f"chervilwheeld: {exc}", file=sys.stderr)
         raise SystemExit(EXIT_SETTINGS) from exc
+    # Most objects of a request die young and without cycles; frequent
+    # collections would only walk the ledger's lasting ones.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
     _LOG.info("daemon: started", extra={"zone": cfg.instance.zone})
     try:
         daemon.run()
