--- a/chervilwheel/membership.py
+++ b/chervilwheel/membership.py
@@ -131,6 +131,7 @@
         if now >= self._probe_at:
             self._probe_at = now + PROBE_S
             self._probe_next(now)
+            self._tell_suspects()
         if now >= self._sync_at:
             self._sync_at = now + SYNC_S * self._rng.uniform(0.8, 1.2)
             self._ask_anyone()
@@ -276,6 +277,15 @@
                 del self._known[name]
                 self.revision += 1
 
+    def _tell_suspects(self) -> None:
+        # A suspect that lives refutes at once what it hears of itself.
+        for known in self._known.values():
+            if known.info.state is State.SUSPECT:
+                to = addresses.Address(known.info.host, known.info.port)
+                name = known.info.name
+                message = self._gossip(Kind.PING, 0, name, (known.info,))
+                self._out.append(Datagram(to, message))
+
     def _mark(self, name: ids.InstanceId, state: State, now: float) -> None:
         known = self._known.get(name)
         if known is None or _RANK[known.info.state] >= _RANK[state]:
