--- a/chervilwheel/pipeline.py
+++ b/chervilwheel/pipeline.py
@@ -1,11 +1,10 @@
-"""The way of a task: admit, claim, place, start, collect, answer."""
+"""The way of a submission: admit, claim, run its tasks, answer."""
 
 import collections
 import logging
 import typing
 
 from chervilwheel import _runs
-from chervilwheel import budgets
 from chervilwheel import calls
 from chervilwheel import clock
 from chervilwheel import errors
@@ -15,21 +14,12 @@
 from chervilwheel import ledger
 from chervilwheel import ledgers
 from chervilwheel import slotsource
+from chervilwheel import taskflow
 from chervilwheel import timers
 
 _LOG = logging.getLogger("pipeline")
-MAX_ATTEMPTS = 4
 RETRY_AFTER_S = 1.0
-RETRY_SHARE = 0.1
-RETRY_BURST = 20.0
-HEDGE_QUANTILE = 0.95
-HEDGE_FACTOR = 1.5
-HEDGE_LEAST_S = 0.02
-ATTEMPT_FACTOR = 8.0
-ATTEMPT_LEAST_S = 2.0
 ANSWER_GRACE_S = 1.0
-INTEND_RETRY_S = 0.2
-HOLD_S = 0.3
 FRESH_MS = 1000
 
 Submission = _runs.Submission
@@ -72,17 +62,22 @@
     ) -> None:
         self._durable = durable
         self._volatile = volatile
-        self._slots = slots
-        self._caller = caller
         self._heap = heap
         self._clock: clock.Clock = heap.clock
         self._admission = admission
         self._runs: dict[ids.JobId, _runs.Run] = {}
-        self._times = times
-        self._budget = budgets.RetryBudget(
-            share=RETRY_SHARE, burst=RETRY_BURST
-        )
         self.counts: collections.Counter[str] = collections.Counter()
+        self._flow = taskflow.TaskFlow(
+            slots=slots,
+            caller=caller,
+            heap=heap,
+            times=times,
+            counts=self.counts,
+            finished=self._finish,
+            fenced=self._abandon,
+            cancelled=lambda run: self.cancel_here(run.submission.job),
+            staged=self._staged,
+        )
         self.on_stage: typing.Callable[[str, float], None] = (
             lambda stage, seconds: None
         )
@@ -176,7 +171,7 @@
         self._watch_recording(run)
         if self._is_likely_new(submission):
             for task in run.tasks:
-                self._place(task)
+                self._flow.place(task)
         book.claim(claim, lambda reply: self._on_claimed(run, intents, reply))
 
     def _is_likely_new(self, submission: Submission) -> bool:
@@ -200,7 +195,7 @@
         ]
         if not numbers:
             return ()
-        free = self._slots.free_hint(_need(run.tasks[numbers[0]]))
+        free = self._flow.free_hint(run.tasks[numbers[0]])
         return tuple(numbers) if free >= len(run.tasks) else ()
 
     def _on_claimed(
@@ -216,8 +211,8 @@
                 run.tasks[number].has_intent = True
             for task in run.tasks:
                 if task.timer is None:
-                    self._place(task)
-                self._start_if_ready(task)
+                    self._flow.place(task)
+                self._flow.start_if_ready(task)
             self._record(run)
             return
         self._drop(run)
@@ -328,7 +323,7 @@
         self.counts["cancelled"] += 1
         for task in run.tasks:
             if not task.attempts:
-                self._give_up(task, "cancelled before it was started")
+                self._flow.give_up(task, "cancelled before it was started")
 
     def adopt(self, orphan: ledger.Orphan) -> None:
         """Finish a submission that a lost runner left."""
@@ -345,240 +340,20 @@
             self._runs[orphan.job] = run
             for task in run.tasks:
                 if task.result is None:
-                    self._place(task)
+                    self._flow.place(task)
 
         self._durable.adopt(orphan.job, orphan.epoch, on_adopted)
 
-    # Place.
-
-    def _place(self, task: _runs.TaskRun) -> None:
-        task.timer = self._heap.call_at(
-            task.deadline_at, lambda: self._on_deadline(task)
-        )
-        self._queue(task)
-
-    def _queue(self, task: _runs.TaskRun) -> None:
-        if task.waiting is not None:
-            return
-        task.queued_at = self._clock.now()
-        task.waiting = slotsource.Waiting(
-            need=_need(task),
-            deadline_at=task.deadline_at,
-            granted=lambda grant: self._on_grant(task, grant),
-            avoid=task.avoid,
-        )
-        self._slots.add(task.waiting)
-
-    def _on_grant(self, task: _runs.TaskRun, grant: slotsource.Grant) -> None:
-        task.waiting = None
-        if task.is_over:
-            self._slots.release(grant, slotsource.Use.UNUSED)
-            return
-        self._staged("slot", task.queued_at)
-        task.grant = grant
-        self._start_if_ready(task)
-        if task.grant is grant:
-            self._heap.call_later(HOLD_S, lambda: self._unhold(task, grant))
-
-    def _unhold(self, task: _runs.TaskRun, grant: slotsource.Grant) -> None:
-        # The ledger is slow; others may use the slot meanwhile.
-        if task.grant is grant:
-            self._return_grant(task)
-
-    def _start_if_ready(self, task: _runs.TaskRun) -> None:
-        run = task.run
-        if not run.epoch:
-            return
-        if task.is_over:
-            self._return_grant(task)
-        elif task.grant is None:
-            if not task.attempts:
-                self._queue(task)
-        elif task.spec.is_idempotent or task.has_intent:
-            self._start(task)
-        else:
-            self._intend(task)
-
-    def _intend(self, task: _runs.TaskRun) -> None:
-        run = task.run
-        asked_at = self._clock.now()
-        run.book.intend(
-            run.submission.job,
-            run.epoch,
-            [task.number],
-            lambda reply: self._on_intent(task, asked_at, reply),
-        )
-
-    def _on_intent(
-        self,
-        task: _runs.TaskRun,
-        asked_at: float,
-        reply: ledger.JobReply | None,
-    ) -> None:
-        self._staged("intent", asked_at)
-        if reply is None:
-            self._heap.call_later(
-                INTEND_RETRY_S, lambda: self._start_if_ready(task)
-            )
-        elif reply.verdict is Verdict.SYNCED:
-            task.has_intent = True
-            self._start_if_ready(task)
-        elif reply.verdict is Verdict.CANCELLED:
-            self.cancel_here(task.run.submission.job)
-            self._return_grant(task)
-        else:
-            self._abandon(task.run)
-
-    # Start and collect.
-
-    def _start(self, task: _runs.TaskRun) -> None:
-        grant = typing.cast(slotsource.Grant, task.grant)
-        task.grant = None
-        now = self._clock.now()
-        left_s = task.deadline_at - now
-        if left_s <= 0:
-            self._slots.release(grant, slotsource.Use.UNUSED)
-            return
-        task.tries += 1
-        if task.tries == 1:
-            self._budget.earn()
-        self.counts["sent"] += 1
-        attempt = _runs.Attempt(task=task, grant=grant, started_at=now)
-        task.attempts.append(attempt)
-        call = calls.Call(
-            endpoint=grant.endpoint,
-            address=grant.address,
-            job=task.run.submission.job,
-            task=task.number,
-            attempt=task.tries,
-            payload=task.spec.payload.encode(),
-            timeout_s=self._attempt_limit_s(task, left_s),
-        )
-        self._hedge_later(task, attempt)
-        self._caller.start(call, lambda end: self._collect(attempt, end))
-
-    def _attempt_limit_s(self, task: _runs.TaskRun, left_s: float) -> float:
-        # Only idempotent work may be tried again, so only its attempts
-        # end before the deadline.
-        times = self._times.get(_kind(task))
-        if not task.spec.is_idempotent or times is None:
-            return left_s
-        limit_s = ATTEMPT_FACTOR * times.quantile_ms(0.99) / 1000
-        return min(left_s, max(ATTEMPT_LEAST_S, limit_s))
-
-    def _hedge_later(
-        self, task: _runs.TaskRun, attempt: _runs.Attempt
-    ) -> None:
-        times = self._times.get(_kind(task))
-        if times is None:
-            return
-        delay_s = HEDGE_FACTOR * times.quantile_ms(HEDGE_QUANTILE) / 1000
-        attempt.hedge_timer = self._heap.call_later(
-            max(HEDGE_LEAST_S, delay_s), lambda: self._on_slow(attempt)
-        )
-
-    def _on_slow(self, attempt: _runs.Attempt) -> None:
-        task = attempt.task
-        if attempt not in task.attempts:
-            return
-        self._slots.mark_slow(attempt.grant)
-        if task.is_over or not task.spec.is_idempotent:
-            return
-        is_alone = task.waiting is None and task.grant is None
-        if is_alone and task.tries < MAX_ATTEMPTS and self._budget.spend():
-            self.counts["hedged"] += 1
-            task.avoid = attempt.grant.endpoint
-            self._queue(task)
-
-    def _collect(self, attempt: _runs.Attempt, end: calls.CallResult) -> None:
-        task = attempt.task
-        task.attempts.remove(attempt)
-        if attempt.hedge_timer is not None:
-            attempt.hedge_timer.cancel()
-        self._slots.release(attempt.grant, _use(end.outcome))
-        run_ms = (self._clock.now() - attempt.started_at) * 1000
-        self.counts[f"call_{end.outcome.value}"] += 1
-        if end.outcome in _SUSPICIOUS:
-            self._caller.distrust(end.call.address)
-        if task.is_over:
-            self._on_late(task, end)
-        elif end.outcome is calls.CallOutcome.ANSWERED:
-            self._times.add(_kind(task), run_ms)
-            task.run.longest_ms = max(task.run.longest_ms, run_ms)
-            self._finish(task, _runs.complete_result(task.number, end.body))
-        elif self._has_more(task):
-            task.bad_end = end
-        elif self._may_retry(task, end):
-            self.counts["retried"] += 1
-            task.avoid = end.call.endpoint
-            task.bad_end = None
-            self._queue(task)
-        else:
-            self._finish(task, _runs.bad_result(task.number, end))
-
-    def _on_late(self, task: _runs.TaskRun, end: calls.CallResult) -> None:
-        self.counts["late_answers"] += 1
-        run = task.run
-        if run.is_abandoned and end.outcome is calls.CallOutcome.ANSWERED:
-            # Still true, and the adopter may not know it.
-            record = _runs.complete_result(task.number, end.body)
-            run.book.record(
-                run.submission.job, run.epoch, [record], lambda _: None
-            )
-
-    def _has_more(self, task: _runs.TaskRun) -> bool:
-        is_under_way = task.attempts or task.waiting or task.grant
-        return bool(is_under_way) and self._clock.now() < task.deadline_at
-
-    def _may_retry(self, task: _runs.TaskRun, end: calls.CallResult) -> bool:
-        if self._clock.now() >= task.deadline_at or task.run.is_cancelled:
-            return False
-        if end.outcome.proves_not_started:
-            return task.tries < 4 * MAX_ATTEMPTS
-        if not task.spec.is_idempotent or task.tries >= MAX_ATTEMPTS:
-            return False
-        return self._budget.spend()
-
-    def _on_deadline(self, task: _runs.TaskRun) -> None:
-        if task.is_over:
-            return
-        if task.attempts:
-            # Their own timeout is this very moment.
-            return
-        if task.bad_end is not None:
-            self._finish(task, _runs.bad_result(task.number, task.bad_end))
-        else:
-            self._give_up(task, "no slot before the deadline")
-
-    def _give_up(self, task: _runs.TaskRun, detail: str) -> None:
-        record = ledger.TaskRecord(
-            task.number, jobs.Outcome.NOT_RUN, "null", detail
-        )
-        self._finish(task, record)
-
     # Answer.
 
     def _finish(self, task: _runs.TaskRun, record: ledger.TaskRecord) -> None:
         if task.result is not None:
             return
         task.result = record
-        self._stop_task(task)
+        self._flow.stop(task)
         task.run.unrecorded.append(record)
         self._record(task.run)
 
-    def _stop_task(self, task: _runs.TaskRun) -> None:
-        if task.timer is not None:
-            task.timer.cancel()
-        if task.waiting is not None:
-            self._slots.cancel(task.waiting)
-            task.waiting = None
-        self._return_grant(task)
-
-    def _return_grant(self, task: _runs.TaskRun) -> None:
-        grant, task.grant = task.grant, None
-        if grant is not None:
-            self._slots.release(grant, slotsource.Use.UNUSED)
-
     def _record(self, run: _runs.Run) -> None:
         is_idle = run.epoch and not run.is_recording and run.unrecorded
         if not is_idle or run.is_abandoned:
@@ -660,28 +435,4 @@
         if run.answer_timer is not None:
             run.answer_timer.cancel()
         for task in run.tasks:
-            self._stop_task(task)
-
-
-_SUSPICIOUS = {
-    calls.CallOutcome.TIMED_OUT,
-    calls.CallOutcome.LOST,
-    calls.CallOutcome.GARBLED,
-}
-
-
-def _need(task: _runs.TaskRun) -> slotsource.Need:
-    team = task.run.submission.team
-    return slotsource.Need(task.spec.service, team, task.spec.urgency)
-
-
-def _kind(task: _runs.TaskRun) -> tuple[str, str]:
-    return (task.spec.service, task.run.submission.team)
-
-
-def _use(outcome: calls.CallOutcome) -> slotsource.Use:
-    if outcome is calls.CallOutcome.ANSWERED:
-        return slotsource.Use.GOOD
-    if outcome is calls.CallOutcome.REFUSED:
-        return slotsource.Use.REFUSED
-    return slotsource.Use.BAD
+            self._flow.stop(task)
