--- a/loadtool/drive.py
+++ b/loadtool/drive.py
@@ -76,6 +76,7 @@
         self._rng = random.Random(seed)
         self._client = client.Client()
         self._number = 0
+        self.broken_off = 0
         self.sent: list[Sent] = []
         self.down: set[str] = set()
         self.began_at = 0.0
@@ -198,6 +199,7 @@
                 key=key,
                 timeout_s=shape.deadline_ms / 1000 + 10.0,
             )
+            self.broken_off += not reply.status
             may_resend = key is not None or is_idempotent
             if reply.status or not may_resend:
                 break
--- a/loadtool/runner.py
+++ b/loadtool/runner.py
@@ -106,6 +106,7 @@
         "placement": opts.placement or target.plan.placement,
         **table,
         "cut_in_flight": state.cut_in_flight,
+        "broken_off": state.driver.broken_off,
         "over_ideal_ms": {
             "p50": report.quantile(over, 0.5),
             "p99": report.quantile(over, 0.99),
--- a/loadtool/scenarios.py
+++ b/loadtool/scenarios.py
@@ -107,6 +107,7 @@
         await run.in_thread(run.target.start_node, node)
         await asyncio.sleep(min(2.0, run.seconds * share))
         run.driver.down.discard(node.name)
+    run.cut_in_flight += run.driver.broken_off
 
 
 async def _bad_worker(run: Run) -> None:
