Tell everyone of a drain at once; a new slot owner starts when told all

Cause: in a rolling restart tasks waited up to 1.1 s for a slot. The drain spread as gossip only, so instances went on reporting to an owner that had laid its book down; and the new owner waited 0.5 s for reports even when it had them all.

Change: a drain is sent to all at once, as a farewell is; a new owner grants as soon as each live entry of its zone has sent a full report.

--- a/chervilwheel/daemon.py
+++ b/chervilwheel/daemon.py
@@ -253,7 +253,7 @@
     # Stopping.
 
     def _on_notice(self) -> None:
-        self._view.describe(state=messages.MemberState.ALIVE, is_draining=True)
+        self._gossip.say_draining()
         if self._keeper is not None:
             self._keeper.resign()
 
--- a/chervilwheel/gossip.py
+++ b/chervilwheel/gossip.py
@@ -61,7 +61,13 @@
 
     def farewell(self) -> None:
         """Tell everyone that this instance leaves."""
-        self._send(self._view.farewell(self._heap.clock.now()))
+        self._send(self._view.farewell())
+
+    def say_draining(self) -> None:
+        """Tell everyone that this instance takes no more work."""
+        alive = messages.MemberState.ALIVE
+        self._send(self._view.describe(state=alive, is_draining=True))
+        self._note_change()
 
     def _tick(self) -> None:
         self._send(self._view.tick(self._heap.clock.now()))
--- a/chervilwheel/membership.py
+++ b/chervilwheel/membership.py
@@ -164,22 +164,27 @@
             self._probe(known.info, now)
         return self._take()
 
-    def describe(self, *, state: State, is_draining: bool) -> None:
-        """Change how this instance describes itself."""
+    def describe(self, *, state: State, is_draining: bool) -> list[Datagram]:
+        """Change how this instance describes itself and tell everyone.
+
+        :returns: datagrams to send
+        """
+        told = self.live()
         self.me = self.me._replace(
             state=state,
             is_draining=is_draining,
             incarnation=self.me.incarnation + 1,
         )
         self.revision += 1
+        for info in told:
+            if info.name != self.me.name:
+                address = addresses.Address(info.host, info.port)
+                self._send(address, Kind.SYNC, 0, info.name)
+        return self._take()
 
-    def farewell(self, now: float) -> list[Datagram]:
+    def farewell(self) -> list[Datagram]:
         """Tell everyone that this instance leaves."""
-        self.describe(state=State.LEFT, is_draining=True)
-        for info in self.live():
-            address = addresses.Address(info.host, info.port)
-            self._send(address, Kind.SYNC, 0, info.name)
-        return self._take()
+        return self.describe(state=State.LEFT, is_draining=True)
 
     def digest(self) -> int:
         """Sum up the whole view in one number."""
--- a/chervilwheel/slots.py
+++ b/chervilwheel/slots.py
@@ -139,6 +139,11 @@
         }
         holder.wanted_at = now
 
+    def has_heard(self, instance: ids.InstanceId) -> bool:
+        """Whether an instance has told all that it holds."""
+        holder = self._holders.get(instance)
+        return holder is not None and not holder.needs_full
+
     def drop(self, instance: ids.InstanceId) -> None:
         """Take back what a lost instance held, as far as it is idle."""
         holder = self._holders.get(instance)
--- a/chervilwheel/zoneowner.py
+++ b/chervilwheel/zoneowner.py
@@ -188,7 +188,7 @@
     def _allocate(self) -> None:
         self._is_allocate_due = False
         now = self._clock.now()
-        if self.book is None or now - self._owned_since < SETTLE_S:
+        if self.book is None or not self._is_settled(self.book, now):
             return
         for name, grants in self.book.allocate(now).items():
             if name == self._me:
@@ -196,6 +196,16 @@
             else:
                 self._links.send(name, grants)
 
+    def _is_settled(self, book: slots.SlotBook, now: float) -> bool:
+        """Whether a new owner knows what its zone holds, or waited."""
+        if now - self._owned_since >= SETTLE_S:
+            return True
+        return all(
+            book.has_heard(info.name)
+            for info in self._view.live(zone=self._zone)
+            if info.is_entry
+        )
+
     def _on_report(
         self, link: peers.Link, report: messages.SlotReport
     ) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -151,7 +151,7 @@
         world = World(size=4)
         world.run(5.0)
         now = world.clock.now()
-        for datagram in world.views["m1"].farewell(now):
+        for datagram in world.views["m1"].farewell():
             target = world._at(datagram.to)
             world.views[target].receive(datagram.message, datagram.to, now)
         for name in ("m0", "m2", "m3"):
