--- a/chervilwheel/grouphost.py
+++ b/chervilwheel/grouphost.py
@@ -14,6 +14,7 @@
 
 _LOG = logging.getLogger("keeper")
 TICK_S = 0.05
+FLUSH_S = 0.25
 COMPACT_BYTES = 64 * 1024 * 1024
 MAX_PROPOSED = 512
 
@@ -86,6 +87,8 @@
         self._arrived: list[tuple[messages.GroupRequest, Respond]] = []
         self._pending: dict[int, tuple[int, list[_Pending]]] = {}
         self._is_pump_due = False
+        self._deferred: list[replica.Entry] = []
+        self._flushed_at = heap.clock.now()
         self._time_base = (0, heap.clock.now())
         machine.load(member.log.snapshot.data)
         heap.every(TICK_S, self._tick)
@@ -123,6 +126,10 @@
         self.member.tick(self._heap.clock.now())
         if not self.member.is_leader:
             self._fail_pending()
+        try:
+            self._flush_deferred()
+        except errors.ChervilwheelError as exc:
+            self._halt(exc)
         self._pump()
 
     def _pump_soon(self) -> None:
@@ -181,12 +188,10 @@
             return False
         for send in actions.early:
             self._send(send.to, send.message)
-        if actions.needs_sync:
-            before = self._heap.clock.now()
-            self._book.save(actions)
-            self.syncs += 1
-            self.on_sync(self._heap.clock.now() - before)
-            self.member.synced(self._heap.clock.now())
+        if self._may_defer(actions):
+            self._deferred.extend(actions.entries)
+        elif actions.needs_sync:
+            self._save(actions)
         for send in actions.late:
             self._send(send.to, send.message)
         if actions.install is not None:
@@ -196,6 +201,49 @@
             self._apply(entry)
         return True
 
+    def _may_defer(self, actions: replica.Actions) -> bool:
+        """Whether the followers' disks are enough for these entries.
+
+        A leader counts itself only when its own disk is synced, so it
+        may leave that for later while the others are a quorum.
+        """
+        only_entries = (
+            actions.entries
+            and actions.hard_state is None
+            and actions.install is None
+            and not actions.late
+        )
+        now = self._heap.clock.now()
+        return bool(only_entries) and self.member.others_are_quorum(now)
+
+    def _take_deferred(self, actions: replica.Actions) -> list[replica.Entry]:
+        """Return deferred entries that the new ones don't replace."""
+        deferred, self._deferred = self._deferred, []
+        if actions.install is not None:
+            return []
+        if not actions.entries:
+            return deferred
+        first = actions.entries[0].index
+        return [entry for entry in deferred if entry.index < first]
+
+    def _flush_deferred(self) -> None:
+        """Sync what was deferred: now and then, or when others lag."""
+        if not self._deferred:
+            return
+        now = self._heap.clock.now()
+        lags = self.member.commit < self._deferred[-1].index
+        if lags or now - self._flushed_at >= FLUSH_S:
+            self._flushed_at = now
+            self._save(replica.Actions())
+
+    def _save(self, actions: replica.Actions) -> None:
+        before = self._heap.clock.now()
+        actions.entries = self._take_deferred(actions) + actions.entries
+        self._book.save(actions)
+        self.syncs += 1
+        self.on_sync(self._heap.clock.now() - before)
+        self.member.synced(self._heap.clock.now())
+
     def _apply(self, entry: replica.Entry) -> None:
         self._applied = entry.index
         term, waiting = self._pending.pop(entry.index, (0, []))
@@ -221,6 +269,7 @@
     def _compact_if_large(self) -> None:
         if self._book.bytes_since_snapshot < COMPACT_BYTES:
             return
+        self._deferred = []
         snapshot = self.member.compact(self._machine.dump(), self._applied)
         entries = self.member.log.since(snapshot.index + 1)
         self._book.compact(snapshot, entries)
--- a/chervilwheel/replica.py
+++ b/chervilwheel/replica.py
@@ -17,6 +17,7 @@
 CHUNK_BYTES = 262_144
 JOIN_S = 0.5
 RELUCTANCE = 3.0
+ANSWERING_BEATS = 3.0
 
 Entry = _replicalog.Entry
 EntryKind = _replicalog.EntryKind
@@ -127,6 +128,18 @@
         """Whether it leads its group in its term."""
         return self.role is Role.LEADER
 
+    def others_are_quorum(self, now: float) -> bool:
+        """Whether enough other voters answer to commit without this disk."""
+        if not self.is_leader:
+            return False
+        limit_s = ANSWERING_BEATS * self._timing.heartbeat_s
+        answering = [
+            member
+            for member, progress in self._progress.items()
+            if now - progress.heard_at <= limit_s
+        ]
+        return self._is_quorum(answering)
+
     def take(self) -> Actions:
         """Hand out what has to be done, once."""
         actions = self._actions
@@ -310,9 +323,8 @@
         self._late(reply)
 
     def _would_vote(self, message: VoteRequest, now: float) -> bool:
-        # The candidate may vote under a config that is not known here yet.
-        if not self.is_voter:
-            return False
+        # Whose vote counts is the candidate's to say: its config may be
+        # newer than the one here, and it names this very disk.
         if message.term < self.term or self._is_led(message, now):
             return False
         theirs = (message.last_term, message.last_index)
--- a/tests/test_stepper.py
+++ b/tests/test_stepper.py
@@ -193,6 +193,11 @@
         # off, then the third loses its disk.
         stepper.Schedule(seed=183).run()
 
+    def test_a_learner_votes_for_whom_made_it_a_voter(self):
+        # Found as seed 1844: the leader loses its disk when a repaired
+        # host has not yet received the entry that makes it a voter.
+        stepper.Schedule(seed=1844).run()
+
     def test_a_cut_off_leader_steps_down_and_catches_up(self):
         world = fakes.World(seed=7, make_machine=keeper.LedgerMachine)
         old = world.wait_for_leader()
