Only operators' tokens announce endpoints; audit names the operator

Cause: any team's token could announce an endpoint for any service and so receive other teams' payloads; the audit said only 'operator'.

Ruled out: a third kind of token for endpoints (later, with workers).

Before: a team's token was answered 200.

--- a/chervilwheel/api.py
+++ b/chervilwheel/api.py
@@ -197,6 +197,7 @@
         self._merge(exchange, is_leaving=True)
 
     def _merge(self, exchange: gateway.Exchange, *, is_leaving: bool) -> None:
+        auth.require_operator(exchange.who)
         version = int(self._clock.wall() * 1_000_000)
         endpoint = _parse_endpoint(exchange.table(), version, is_leaving)
         if self._known.merge(endpoint, age_s=0.0, now=self._clock.now()):
--- a/chervilwheel/auth.py
+++ b/chervilwheel/auth.py
@@ -15,11 +15,13 @@
 
     team: ids.TeamId
     is_operator: bool
+    label: str = ""
 
     @property
     def name(self) -> str:
         """Return a name for logs and the audit trail."""
-        return "operator" if self.is_operator else f"team:{self.team}"
+        role = "operator" if self.is_operator else f"team:{self.team}"
+        return f"{role}/{self.label}" if self.label else role
 
 
 class Credential(typing.NamedTuple):
@@ -69,12 +71,3 @@
     """
     if not who.is_operator:
         raise errors.Forbidden("only operators may do this")
-
-
-def require_team(who: Principal, team: ids.TeamId) -> None:
-    """Refuse teams other than the named one; operators may pass.
-
-    :raises errors.Forbidden: when the caller is another team
-    """
-    if not who.is_operator and who.team != team:
-        raise errors.Forbidden(f"this belongs to team {team!r}")
--- a/chervilwheel/config.py
+++ b/chervilwheel/config.py
@@ -79,6 +79,9 @@
     sha256: str = _opt(doc="SHA-256 of the token, hex.", pattern=SHA256)
     team: str = _opt("", doc="The team that holds it.", pattern=NAME + "|")
     operator: bool = _opt(False, doc="Whether it is an operator's.")
+    label: str = _opt(
+        "", doc="Whose it is, for the audit trail.", pattern=NAME + "|"
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/chervilwheel/daemon.py
+++ b/chervilwheel/daemon.py
@@ -323,7 +323,9 @@
     return [
         auth.Credential(
             token.sha256,
-            auth.Principal(ids.TeamId(token.team), token.operator),
+            auth.Principal(
+                ids.TeamId(token.team), token.operator, token.label
+            ),
         )
         for token in cfg.auth.tokens
     ]
--- /dev/null
+++ b/tests/test_auth.py
@@ -0,0 +1,37 @@
+"""Who may do what, and under which name it is written down."""
+
+import hashlib
+
+import testtools
+
+from chervilwheel import auth
+from chervilwheel import errors
+
+
+def _credential(token, principal):
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    return auth.Credential(digest, principal)
+
+
+class TokenBookTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.book = auth.TokenBook(
+            credentials=[
+                _credential("o", auth.Principal("", True, "anna")),
+                _credential("t", auth.Principal("one", False)),
+            ]
+        )
+
+    def test_tokens_tell_who_asks(self):
+        self.assertEqual("operator/anna", self.book.identify("Bearer o").name)
+        self.assertEqual("team:one", self.book.identify("Bearer t").name)
+
+    def test_anything_else_is_unauthorized(self):
+        for header in (None, "", "t", "Basic t", "Bearer ", "Bearer x"):
+            self.assertRaises(errors.Unauthorized, self.book.identify, header)
+
+    def test_a_team_is_no_operator(self):
+        team = self.book.identify("Bearer t")
+        self.assertRaises(errors.Forbidden, auth.require_operator, team)
+        auth.require_operator(self.book.identify("Bearer o"))
