--- a/tests/stepper.py
+++ b/tests/stepper.py
@@ -194,9 +194,9 @@
     :param options: classes to put in place of the protocol's own
     """
 
-    def __init__(self, *, seed, **options):
+    def __init__(self, *, seed, make_machine=keeper.LedgerMachine, **options):
         self.world = fakes.World(
-            seed=seed, make_machine=keeper.LedgerMachine, **options
+            seed=seed, make_machine=make_machine, **options
         )
         self.history = History()
         self.checker = LogChecker(world=self.world)
--- /dev/null
+++ b/tests/test_settingsstepper.py
@@ -0,0 +1,154 @@
+"""Settings under random schedules: races, resent changes, readers."""
+
+import itertools
+
+import testtools
+
+from chervilwheel import auth
+from chervilwheel import messages
+from chervilwheel import policies
+from chervilwheel import policyview
+from tests import fakes
+from tests import stepper
+
+SEEDS = 300
+MUTANT_SEEDS = 100
+PATH = "teams/one/policy"
+ACCEPTED = policies.ChangeStatus.ACCEPTED
+
+
+class SettingsSchedule(stepper.Schedule):
+    """Operators race and resend, readers pull from any keeper."""
+
+    def __init__(self, *, seed, make_machine=policies.Policies):
+        super().__init__(seed=seed, make_machine=make_machine)
+        self.numbers = itertools.count(1)
+        self.commands = {}
+        self.replies = {}
+        self.readers = [self._reader() for _ in range(3)]
+
+    @staticmethod
+    def _reader():
+        tokens = auth.TokenBook(credentials=())
+        store = fakes.FakeDisk(rng=None)
+        return policyview.PolicyView(tokens=tokens, cache=None, store=store)
+
+    def _act(self, rng):
+        reader = rng.choice(self.readers)
+        if rng.random() < 0.5:
+            self._pull(reader, rng)
+        elif self.commands and rng.random() < 0.3:
+            self._send(self.commands[rng.choice(list(self.commands))], rng)
+        else:
+            number = next(self.numbers)
+            edit = policies.Edit(PATH, f"weight = {number}.0", False)
+            command = policies.ChangeCommand(
+                f"c{number}", "operator", reader.revision, (edit,)
+            )
+            self.commands[command.change_id] = command
+            self._send(command, rng)
+
+    def _pull(self, reader, rng):
+        node = rng.choice(list(self.world.nodes.values()))
+        if not node.is_up:
+            return
+        before = reader.revision
+        pull = messages.SettingsPull(before, reader.digest())
+        reader.take(policyview.answer_pull(node.machine, pull))
+        if reader.revision < before:
+            raise stepper.InvariantError("a reader stepped back")
+
+    def _send(self, command, rng):
+        node = self.world.leader() or rng.choice(
+            list(self.world.nodes.values())
+        )
+        if not node.is_up:
+            return
+        data = policies.CODEC.encode(command)
+        request = messages.GroupRequest(next(self.numbers), "g", (data,))
+
+        def respond(reply):
+            if reply.status == messages.STATUS.ok and rng.random() > 0.2:
+                self._told(command, policies.CODEC.decode(reply.results[0]))
+
+        node.host.request(request, respond)
+
+    def _told(self, command, reply):
+        known = self.replies.setdefault(command.change_id, reply)
+        if known != reply:
+            raise stepper.InvariantError("a resent change got a new answer")
+
+    def _read_all(self):
+        tree = self.world.leader().machine
+        changes = tree.run(policies.HistoryCommand("", 10_000), 1).changes
+        policies.verify(changes)
+        accepted = {}
+        for change in changes:
+            if change.status is ACCEPTED:
+                if change.change_id in accepted:
+                    raise stepper.InvariantError("accepted twice")
+                accepted[change.change_id] = change.revision
+        self._check_told(accepted)
+        self._check_races(accepted)
+        for reader in self.readers:
+            pull = messages.SettingsPull(reader.revision, reader.digest())
+            reader.take(policyview.answer_pull(tree, pull))
+            if reader.digest() != tree.digest():
+                raise stepper.InvariantError("a reader did not catch up")
+
+    def _check_told(self, accepted):
+        for change_id, reply in self.replies.items():
+            is_kept = accepted.get(change_id) == reply.revision
+            if reply.status is ACCEPTED and not is_kept:
+                raise stepper.InvariantError("an accepted change reverted")
+
+    def _check_races(self, accepted):
+        revisions = sorted(accepted.values())
+        if len(set(revisions)) < len(revisions):
+            raise stepper.InvariantError("two changes of one revision")
+        for change_id, revision in accepted.items():
+            base = self.commands[change_id].base_revision
+            if any(base < other < revision for other in revisions):
+                raise stepper.InvariantError("two winners of one race")
+
+
+class LostAnswers(policies.Policies):
+    """A mutant: answers to change ids are not kept in snapshots."""
+
+    def _change(self, command, wall_ms):
+        self._answered.clear()
+        return super()._change(command, wall_ms)
+
+
+class LastWriterWins(policies.Policies):
+    """A mutant: the base revision is not compared."""
+
+    def _newest(self, subtree):
+        return 0
+
+
+class SettingsScheduleTest(testtools.TestCase):
+    def test_no_promise_breaks(self):
+        accepted = 0
+        for seed in range(1, SEEDS + 1):
+            schedule = SettingsSchedule(seed=seed)
+            try:
+                schedule.run()
+            except Exception as exc:
+                raise AssertionError(f"seed {seed}") from exc
+            accepted += sum(
+                each.status is ACCEPTED for each in schedule.replies.values()
+            )
+        self.assertGreater(accepted, SEEDS)
+
+    def test_mutants_are_caught(self):
+        for mutant in (LostAnswers, LastWriterWins):
+            self.assertTrue(self._is_caught(mutant), mutant.__name__)
+
+    def _is_caught(self, mutant):
+        for seed in range(1, MUTANT_SEEDS):
+            try:
+                SettingsSchedule(seed=seed, make_machine=mutant).run()
+            except stepper.InvariantError:
+                return True
+        return False
