--- a/chervilwheel/_runs.py
+++ b/chervilwheel/_runs.py
@@ -116,16 +116,10 @@
         self.unrecorded: list[ledger.TaskRecord] = []
         self.answer_timer: timers.Timer | None = None
         self.is_recording = False
-        self.is_record_due = False
         self.is_cancelled = False
         self.is_abandoned = False
         self.is_dropped = False
 
-    @property
-    def has_all_results(self) -> bool:
-        """Whether every task has ended."""
-        return all(task.result is not None for task in self.tasks)
-
     @property
     def never_started(self) -> bool:
         """Whether all tasks ended without a start."""
--- a/chervilwheel/pipeline.py
+++ b/chervilwheel/pipeline.py
@@ -20,7 +20,6 @@
 _LOG = logging.getLogger("pipeline")
 RETRY_AFTER_S = 1.0
 ANSWER_GRACE_S = 1.0
-RECORD_GAP_S = 0.02
 FRESH_MS = 1000
 
 Submission = _runs.Submission
@@ -214,7 +213,7 @@
                 if task.timer is None:
                     self._flow.place(task)
                 self._flow.start_if_ready(task)
-            self._record_soon(run)
+            self._record(run)
             return
         self._drop(run)
         for waiter in run.waiters:
@@ -353,19 +352,9 @@
         task.result = record
         self._flow.stop(task)
         task.run.unrecorded.append(record)
-        self._record_soon(task.run)
-
-    def _record_soon(self, run: _runs.Run) -> None:
-        # Only the answer waits for a record, and it needs the last
-        # result; those before it may share one.
-        if run.has_all_results:
-            self._record(run)
-        elif not run.is_record_due:
-            run.is_record_due = True
-            self._heap.call_later(RECORD_GAP_S, lambda: self._record(run))
+        self._record(task.run)
 
     def _record(self, run: _runs.Run) -> None:
-        run.is_record_due = False
         is_idle = run.epoch and not run.is_recording and run.unrecorded
         if not is_idle or run.is_abandoned:
             return
@@ -396,11 +385,11 @@
         run.is_recording = False
         if reply is None:
             run.unrecorded[:0] = batch
-            self._record_soon(run)
+            self._record(run)
         elif reply.verdict is Verdict.FINISHED:
             self._answer(run, _runs.answer_of(reply))
         elif reply.verdict is Verdict.SYNCED:
-            self._record_soon(run)
+            self._record(run)
         elif run.never_started:
             self._answer(run, _runs.not_run_answer(run))
         else:
