--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -193,8 +193,9 @@
             data = b"POST " + path + b" HTTP/1.1\r\nHost: x\r\n"
             data += b"Content-Length: 2\r\n\r\n{}"
             self.assertEqual(401, self._exchange(data)[0][0])
-        ((status, _),) = self._exchange(self._post(b"/v1/drain", b"{}"))
-        self.assertEqual(403, status)
+        for path in (b"/v1/drain", b"/v1/endpoints/announce"):
+            ((status, _),) = self._exchange(self._post(path, b"{}"))
+            self.assertEqual(403, status)
 
     def test_a_service_nobody_offers_is_refused_as_not_run(self):
         body = b'{"service": "nobody", "tasks": [{}], "deadline_ms": 5000}'
