--- a/chervilwheel/daemon.py
+++ b/chervilwheel/daemon.py
@@ -250,8 +250,6 @@
         if self._entry is not None:
             self._entry.zone_slots.members_changed()
 
-    # Stopping.
-
     def _on_notice(self) -> None:
         self._gossip.say_draining()
         if self._keeper is not None:
--- a/chervilwheel/membership.py
+++ b/chervilwheel/membership.py
@@ -99,8 +99,6 @@
         self._out: list[Datagram] = []
         self._turn = 0
 
-    # What others read.
-
     def live(self, *, zone: ids.ZoneId | None = None) -> list[Info]:
         """List living instances, this one among them, suspects too."""
         infos = [self.me] if self.me.state is State.ALIVE else []
@@ -119,8 +117,6 @@
         """Whether an instance is believed to live."""
         return any(info.name == name for info in self.live())
 
-    # What drives it.
-
     def tick(self, now: float) -> list[Datagram]:
         """Do what is due.
 
@@ -194,8 +190,6 @@
         )
         return zlib.crc32("\n".join(rows).encode())
 
-    # Probing.
-
     def _probe_next(self, now: float) -> None:
         for _ in range(len(self._known) + 1):
             if not self._round:
@@ -321,8 +315,6 @@
         for address in chosen:
             self._send(address, Kind.PING, 0, ids.InstanceId(""))
 
-    # News.
-
     def _merge(self, info: Info, now: float) -> None:
         if info.name == self.me.name:
             self._refute(info)
--- a/chervilwheel/pipeline.py
+++ b/chervilwheel/pipeline.py
@@ -97,8 +97,6 @@
     def _staged(self, stage: str, since: float) -> None:
         self.on_stage(stage, self._clock.now() - since)
 
-    # Admit and claim.
-
     def submit(
         self, submission: Submission, done: AnswerDone, problem: Problem
     ) -> None:
@@ -257,8 +255,6 @@
         timeout_s = longest_ms / 1000 + ANSWER_GRACE_S
         self._durable.watch(submission.job, timeout_s, on_finished)
 
-    # Fetch, cancel and adopt.
-
     def fetch(
         self,
         job: ids.JobId,
@@ -344,8 +340,6 @@
 
         self._durable.adopt(orphan.job, orphan.epoch, on_adopted)
 
-    # Answer.
-
     def _finish(self, task: _runs.TaskRun, record: ledger.TaskRecord) -> None:
         if task.result is not None:
             return
--- a/chervilwheel/replica.py
+++ b/chervilwheel/replica.py
@@ -253,8 +253,6 @@
                 f"{self.group}: not led here", leader=leader
             )
 
-    # Elections.
-
     def _reset_election(self, now: float) -> None:
         base = self._timing.election_s
         if self._is_reluctant:
@@ -380,8 +378,6 @@
         if is_current and self.is_voter and not self.is_leader:
             self._campaign(now, is_pre=False, is_transfer=True)
 
-    # Leading.
-
     def _append(
         self,
         kind: EntryKind,
@@ -547,8 +543,6 @@
             target = max(ready, key=lambda m: self._progress[m].heard_at)
             self._early(Campaign(self.group, target, self.me, self.term))
 
-    # Membership.
-
     def _may_change_config(self) -> bool:
         return (
             self._config_index <= self.commit
@@ -598,8 +592,6 @@
         voters = (*config.voters, member)
         self.change_config(GroupConfig(voters, learners), now)
 
-    # Following.
-
     def _on_append(self, message: AppendRequest, now: float) -> None:
         if message.term < self.term:
             self._reply_append(message.sender, False, 0)
--- a/chervilwheel/slots.py
+++ b/chervilwheel/slots.py
@@ -90,8 +90,6 @@
             ids.InstanceId, collections.Counter[tuple[Kind, ids.EndpointId]]
         ] = {}
 
-    # What the book learns.
-
     def set_endpoints(
         self, live: typing.Sequence[directory.Endpoint], now: float
     ) -> None:
@@ -156,8 +154,6 @@
         self._forget_holds(instance)
         del self._holders[instance]
 
-    # What the book decides.
-
     def allocate(
         self, now: float
     ) -> dict[ids.InstanceId, messages.SlotGrants]:
@@ -209,8 +205,6 @@
         """Tell how many slots of each endpoint are charged."""
         return {name: pool.used(now) for name, pool in self._pools.items()}
 
-    # Allocation.
-
     def _allocate_service(
         self,
         service: ids.ServiceId,
@@ -329,8 +323,6 @@
             *kind, name, address.host, address.port, count
         )
 
-    # Quotas.
-
     def _team_usage(self, team: ids.TeamId) -> int:
         return sum(self._usage[team, urgency] for urgency in jobs.Urgency)
 
@@ -357,8 +349,6 @@
         if bucket is not None:
             bucket.tokens -= 1.0
 
-    # Holds.
-
     def _new_pool(self, endpoint: directory.Endpoint) -> _slotstate.Pool:
         pool = _slotstate.Pool(endpoint=endpoint)
         pool.held = sum(
--- a/chervilwheel/zoneowner.py
+++ b/chervilwheel/zoneowner.py
@@ -92,8 +92,6 @@
         heap.every(LOAD_S, self._send_load)
         heap.every(SWEEP_S, self._sweep)
 
-    # What the rest of the instance asks.
-
     def owner_of(self, zone: ids.ZoneId) -> ids.InstanceId | None:
         """Tell who shares out a zone's slots: one live entry of it."""
         names = [
@@ -151,8 +149,6 @@
             self._allocate_soon()
         self._flush_soon()
 
-    # Owning.
-
     def _update_ownership(self) -> None:
         is_mine = self.owner_of(self._zone) == self._me
         if is_mine and self.book is None:
@@ -229,8 +225,6 @@
             if info.is_entry and info.name != self._me:
                 self._links.send(info.name, load)
 
-    # Being a client.
-
     def _flush_soon(self) -> None:
         if not self._is_flush_due:
             self._is_flush_due = True
@@ -255,8 +249,6 @@
         self._refresh_book()
         self._flush_soon()
 
-    # Endpoint news.
-
     def _send_news(self) -> None:
         if not self._news:
             return
