Give processes of a run 60 s to start

Ruled out: fewer processes in these tests.

Change: the wait for health and endpoints is bounded by 60 s.

After: no other change.

--- a/loadtool/cluster.py
+++ b/loadtool/cluster.py
@@ -16,7 +16,7 @@
 from loadtool import layout
 
 SERVICE = "pricing"
-START_S = 20.0
+START_S = 60.0
 STOP_S = 40.0
 
 
