Test what made the handover of slots quick in a drain

Ruled out: a bound on the time in a test of real processes.

Change: a drain reaches every view by its own datagrams, without a probe; the book knows who has sent a full report, and forgets on a gap.

Before: no test.

Conclusion: kept.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -157,6 +157,18 @@
         for name in ("m0", "m2", "m3"):
             self.assertNotIn("m1", world.seen(name))
 
+    def test_a_drain_is_told_to_all_at_once(self):
+        world = World(size=6, zones=2)
+        world.run(5.0)
+        view = world.views["m1"]
+        now = world.clock.now()
+        for datagram in view.describe(state=STATE.ALIVE, is_draining=True):
+            target = world._at(datagram.to)
+            world.views[target].receive(datagram.message, datagram.to, now)
+        for name, other in world.views.items():
+            seen = {info.name: info.is_draining for info in other.live()}
+            self.assertTrue(seen["m1"], name)
+
     def test_a_digest_heals_a_missed_piece_of_news(self):
         world = World(size=4)
         world.run(5.0)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -334,6 +334,18 @@
 
 
 class ReportTest(testtools.TestCase):
+    def test_an_owner_knows_who_has_told_all_it_holds(self):
+        world = World(endpoints=1, instances=2)
+        world.instances[0].ask()
+        self.assertFalse(world.book.has_heard("i0"))
+        world.exchange()
+        self.assertTrue(world.book.has_heard("i0"))
+        self.assertTrue(world.book.has_heard("i1"))
+        ((_, report),) = Instance(name="i2", world=world).client.take_reports()
+        later = report._replace(sequence=5, is_full=False)
+        world.book.report("i2", later, world.clock.now())
+        self.assertFalse(world.book.has_heard("i2"))
+
     def test_a_report_that_came_twice_counts_once(self):
         world = World(endpoints=1)
         instance = world.instances[0]
