Judge a keyed caller without an outcome as lost

Cause: read again with fresh eyes, the load tool's judge counted a caller that never heard an outcome (unreachable to the end, 202, or an unexpected status) but broke no promise by it: a check that could not fail.

--- a/loadtool/judge.py
+++ b/loadtool/judge.py
@@ -128,6 +128,9 @@
         if outcome == "complete":
             _judge_results(each, reply.table, started, counts)
     counts[outcomes[0]] += 1
+    # Whoever can send again under a key must hear an outcome in the end.
+    known = FINAL if each.key else FINAL | {"unreachable"}
+    counts["lost"] += sum(outcome not in known for outcome in outcomes)
     if all(outcome == "not_run" for outcome in outcomes) and any(started):
         counts["false_not_run"] += 1
     said = {outcome for outcome in outcomes if outcome in FINAL}
