Run on the users' platform: the whole path, thin

Cause: the product had no workers with leases and no way to be spoken to by the platform. New: an assignment engine (workers/), control and entry hosts (control/), HTTP on the stream loop (http/), the adapter (platform/). The clock counts suspension now, append messages carry their time of sending, so that a leader knows until when no other can lead.

--- a/chervilwheel/clock.py
+++ b/chervilwheel/clock.py
@@ -23,8 +23,12 @@
     """The machine's clocks."""
 
     def now(self) -> Instant:
-        """Return the machine's monotonic time, seconds."""
-        return Instant(time.monotonic())
+        """Return time since boot, seconds.
+
+        Unlike the plain monotonic clock it counts time in suspension, so
+        a lease never seems fresh after a host wakes.
+        """
+        return Instant(time.clock_gettime(time.CLOCK_BOOTTIME))
 
     def wall(self) -> float:
         """Return the machine's wall time, seconds since the epoch."""
--- /dev/null
+++ b/chervilwheel/control/runtime.py
@@ -0,0 +1,107 @@
+"""The loop of a control host or an entry host, and what hangs on it."""
+
+import contextlib
+import gc
+import hashlib
+import logging
+import signal
+import typing
+
+import circuits
+
+from chervilwheel import addresses
+from chervilwheel import clock
+from chervilwheel import ids
+from chervilwheel import peers
+from chervilwheel import streams
+from chervilwheel import timers
+from chervilwheel.control import nodesettings
+
+_LOG = logging.getLogger("runtime")
+# A link that is silent for three heartbeats is replaced.
+PEER_HEARTBEAT_S = 0.3
+PEER_SILENCE_S = 0.9
+SIGNAL_POLL_S = 0.1
+# Most objects die young; full collections would only walk lasting ones.
+GC_THRESHOLDS = (50_000, 50, 100)
+
+
+class Runtime(circuits.BaseComponent):
+    """The loop with its streams, timers, links and signals.
+
+    :param cfg: settings of this process
+    """
+
+    channel = "runtime"
+
+    def __init__(self, *, cfg: nodesettings.NodeSettings) -> None:
+        super().__init__()
+        self.cfg = cfg
+        self.heap = timers.TimerHeap(clk=clock.SystemClock())
+        self.loop = streams.StreamLoop().register(self)
+        timers.TimerLoop(heap=self.heap).register(self)
+        self.links = peers.Peers(
+            name=cfg.id,
+            key=cluster_key(cfg),
+            loop=self.loop,
+            heap=self.heap,
+            is_cut=lambda _peer, _direction: False,
+            heartbeat_s=PEER_HEARTBEAT_S,
+            silence_s=PEER_SILENCE_S,
+        )
+        self.on_stop: typing.Callable[[], None] = self.stop
+        self.on_reload: typing.Callable[[], None] = lambda: None
+        self._signals: list[int] = []
+        self._stack = contextlib.ExitStack()
+        self._stack.callback(self.loop.close)
+        self._stack.callback(self.links.close)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, self._on_signal)
+        self.heap.every(SIGNAL_POLL_S, self._take_signals)
+
+    def know(self, host: str) -> ids.InstanceId:
+        """Learn of another host by its IP address."""
+        name = ids.InstanceId(host)
+        if host != self.cfg.host:
+            address = addresses.Address(host, self.cfg.peer_port)
+            self.links.know(name, address)
+        return name
+
+    def serve(self) -> None:
+        """Listen for links and run until stopped."""
+        own = addresses.Address(self.cfg.host, self.cfg.peer_port)
+        self.links.listen(own)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*GC_THRESHOLDS)
+        _LOG.info("runtime: started", extra={"role": self.cfg.role})
+        with self._stack:
+            self.run()
+        _LOG.info("runtime: ended")
+
+    def _on_signal(self, number: int, _frame: typing.Any) -> None:
+        self._signals.append(number)
+
+    def _take_signals(self) -> None:
+        arrived, self._signals = self._signals, []
+        for number in arrived:
+            _LOG.info("runtime: signal", extra={"number": number})
+            if number == signal.SIGHUP:
+                self.on_reload()
+            else:
+                self.on_stop()
+
+    @circuits.handler("exception", channel="*", priority=100)
+    def _on_exception(
+        self, _kind: type, exc: BaseException, trace: list[str], **_: object
+    ) -> None:
+        _LOG.error(
+            "runtime: a handler failed",
+            extra={"error": repr(exc), "trace": "".join(trace)},
+        )
+
+
+def cluster_key(cfg: nodesettings.NodeSettings) -> bytes:
+    """Derive the key of links from what all hosts are told alike."""
+    text = "\x00".join(sorted(cfg.zones))
+    return hashlib.sha256(text.encode()).digest()
--- a/chervilwheel/datacommands.py
+++ b/chervilwheel/datacommands.py
@@ -7,8 +7,8 @@
 
 from chervilwheel import _cli
 from chervilwheel import disk
+from chervilwheel import diskidentity
 from chervilwheel import inspection
-from chervilwheel import keeper
 from chervilwheel import output
 
 
@@ -21,7 +21,7 @@
 
     def __call__(self) -> None:
         """Write the founding identity."""
-        keeper.found(self.folder, disk.FileDisk())
+        diskidentity.found(self.folder, disk.FileDisk())
         print(f"founded {self.folder}")
 
 
--- a/chervilwheel/grouphost.py
+++ b/chervilwheel/grouphost.py
@@ -60,6 +60,7 @@
     :param machine: its state machine, still empty
     :param heap: timers
     :param send: sends a message to an instance
+    :param compact_bytes: the journal is cut short at this size
     """
 
     def __init__(
@@ -71,7 +72,9 @@
         machine: Machine,
         heap: timers.TimerHeap,
         send: SendTo,
+        compact_bytes: int = COMPACT_BYTES,
     ) -> None:
+        self._compact_bytes = compact_bytes
         self.group = group
         self.member = member
         self.is_halted = False
@@ -267,7 +270,7 @@
                 )
 
     def _compact_if_large(self) -> None:
-        if self._book.bytes_since_snapshot < COMPACT_BYTES:
+        if self._book.bytes_since_snapshot < self._compact_bytes:
             return
         self._deferred = []
         snapshot = self.member.compact(self._machine.dump(), self._applied)
--- a/chervilwheel/guard.py
+++ b/chervilwheel/guard.py
@@ -46,7 +46,20 @@
     """The caller waits for leave to send its body."""
 
 
-Framed = CleanRequest | Refusal | Continue
+class Request(typing.NamedTuple):
+    """A whole request, in parts.
+
+    :ivar headers: values by name in lower case; the last one counts
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    keep_alive: bool
+
+
+Framed = CleanRequest | Request | Refusal | Continue
 
 
 class RequestGate:
@@ -188,3 +201,24 @@
         lines.append(b"Content-Length: %d" % len(self._body))
         head = b"\r\n".join(lines) + b"\r\n\r\n"
         return head + bytes(self._body)
+
+
+class RequestReader(RequestGate):
+    """Cut the bytes of one connection into requests in parts."""
+
+    def on_message_complete(self) -> None:
+        """Hand on a whole request; called by the parser."""
+        if self._refused:
+            return
+        request = Request(
+            method=self._parser.get_method().decode("latin-1"),
+            target=self._url.decode("latin-1"),
+            headers={
+                name.decode("latin-1").lower(): value.decode("latin-1")
+                for name, value in self._headers
+            },
+            body=bytes(self._body),
+            keep_alive=self._parser.should_keep_alive(),
+        )
+        self._framed.append(request)
+        self._reset()
--- /dev/null
+++ b/chervilwheel/http/client.py
@@ -0,0 +1,250 @@
+"""Call HTTP servers over kept connections, each call with a deadline."""
+
+import collections
+import enum
+import logging
+import typing
+
+import httptools
+
+from chervilwheel import addresses
+from chervilwheel import streams
+from chervilwheel import timers
+
+_LOG = logging.getLogger("http")
+CONNECT_TIMEOUT_S = 0.5
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+# An idle connection may have been forgotten by what stands between.
+MAX_IDLE_S = 10.0
+
+
+class Failure(enum.Enum):
+    """Why a call has no answer."""
+
+    NONE = "none"
+    NOT_SENT = "not_sent"
+    UNKNOWN = "unknown"
+
+
+class CallAnswer(typing.NamedTuple):
+    """An answer, or why there is none."""
+
+    failure: Failure
+    status: int = 0
+    body: bytes = b""
+
+
+Done = typing.Callable[[CallAnswer], None]
+
+
+class HttpClient:
+    """Keep connections to servers and send calls over them.
+
+    :param loop: the stream loop
+    :param heap: timers
+    :param per_address: connections to one address at most
+    """
+
+    def __init__(
+        self,
+        *,
+        loop: streams.StreamLoop,
+        heap: timers.TimerHeap,
+        per_address: int,
+    ) -> None:
+        self.loop = loop
+        self.heap = heap
+        self.per_address = per_address
+        self.connects = 0
+        self._pools: dict[addresses.Address, _Pool] = {}
+
+    def call(
+        self,
+        address: addresses.Address,
+        data: bytes,
+        timeout_s: float,
+        done: Done,
+    ) -> None:
+        """Send a whole request; the answer comes once, later.
+
+        :param data: the encoded request
+        """
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = _Pool(owner=self, address=address)
+        pool.call(_Call(data, timeout_s, done))
+
+    def forget(self, address: addresses.Address) -> None:
+        """Close the idle connections to an address."""
+        pool = self._pools.get(address)
+        if pool is not None:
+            pool.close_idle()
+
+    def close(self) -> None:
+        """Close the idle connections to all addresses."""
+        for pool in self._pools.values():
+            pool.close_idle()
+
+
+class _Call(typing.NamedTuple):
+    """A call on its way."""
+
+    data: bytes
+    timeout_s: float
+    done: Done
+
+
+class _Pool:
+    """The connections to one address."""
+
+    def __init__(
+        self, *, owner: HttpClient, address: addresses.Address
+    ) -> None:
+        self.owner = owner
+        self.address = address
+        self.idle: collections.deque[_Conn] = collections.deque()
+        self.count = 0
+
+    def call(self, call: _Call) -> None:
+        now = self.owner.heap.clock.now()
+        while self.idle:
+            conn = self.idle.pop()
+            if conn.is_usable(now):
+                conn.run(call)
+                return
+            conn.close()
+        if self.count >= self.owner.per_address:
+            answer = CallAnswer(Failure.NOT_SENT)
+            self.owner.heap.call_later(0.0, lambda: call.done(answer))
+            return
+        self.count += 1
+        self.owner.connects += 1
+        _Conn(pool=self).run(call)
+
+    def close_idle(self) -> None:
+        while self.idle:
+            self.idle.pop().close()
+
+
+class _Conn:
+    """One connection, running one call or idle."""
+
+    def __init__(self, *, pool: _Pool) -> None:
+        self._pool = pool
+        self._heap = pool.owner.heap
+        self._call: _Call | None = None
+        self._timers: list[timers.Timer] = []
+        self._answer = _AnswerReader()
+        self._idle_since = 0.0
+        self._is_closed = False
+        self._stream = pool.owner.loop.connect(pool.address)
+        self._stream.on_open = self._on_open
+        self._stream.on_data = self._on_data
+        self._stream.on_closed = self._on_closed
+
+    def is_usable(self, now: float) -> bool:
+        return not self._is_closed and now - self._idle_since < MAX_IDLE_S
+
+    def run(self, call: _Call) -> None:
+        self._call = call
+        self._answer = _AnswerReader()
+        self._timers = [
+            self._heap.call_later(call.timeout_s, self._on_timeout)
+        ]
+        if self._stream.is_open:
+            self._stream.send(call.data)
+        elif call.timeout_s > CONNECT_TIMEOUT_S:
+            self._timers.append(
+                self._heap.call_later(
+                    CONNECT_TIMEOUT_S, self._on_connect_timeout
+                )
+            )
+
+    def close(self) -> None:
+        if not self._is_closed:
+            self._is_closed = True
+            self._pool.count -= 1
+        self._stream.close()
+
+    def _on_open(self) -> None:
+        if self._call is not None:
+            self._stream.send(self._call.data)
+
+    def _on_data(self, data: bytes) -> None:
+        if self._call is None:
+            self._drop()
+            return
+        self._answer.feed(data)
+        if self._answer.is_broken:
+            self._end(CallAnswer(Failure.UNKNOWN), reusable=False)
+        elif self._answer.is_whole:
+            answer = CallAnswer(
+                Failure.NONE, self._answer.status, bytes(self._answer.body)
+            )
+            self._end(answer, reusable=self._answer.keeps_alive)
+
+    def _on_closed(self) -> None:
+        if self._call is None:
+            self._drop()
+        elif self._stream.is_open:
+            self._end(CallAnswer(Failure.UNKNOWN), reusable=False)
+        else:
+            self._end(CallAnswer(Failure.NOT_SENT), reusable=False)
+
+    def _on_connect_timeout(self) -> None:
+        if not self._stream.is_open:
+            self._end(CallAnswer(Failure.NOT_SENT), reusable=False)
+
+    def _on_timeout(self) -> None:
+        is_sent = self._stream.is_open
+        failure = Failure.UNKNOWN if is_sent else Failure.NOT_SENT
+        self._end(CallAnswer(failure), reusable=False)
+
+    def _drop(self) -> None:
+        if self in self._pool.idle:
+            self._pool.idle.remove(self)
+        self.close()
+
+    def _end(self, answer: CallAnswer, *, reusable: bool) -> None:
+        call, self._call = self._call, None
+        for timer in self._timers:
+            timer.cancel()
+        self._timers = []
+        if reusable:
+            self._idle_since = self._heap.clock.now()
+            self._pool.idle.append(self)
+        else:
+            self.close()
+        if call is not None:
+            call.done(answer)
+
+
+class _AnswerReader:
+    """Parse one answer."""
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self.body = bytearray()
+        self.is_whole = False
+        self.is_broken = False
+        self.keeps_alive = False
+
+    @property
+    def status(self) -> int:
+        return self._parser.get_status_code()
+
+    def feed(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.is_broken = True
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+        if len(self.body) > MAX_ANSWER_BYTES:
+            self.is_broken = True
+            self.body.clear()
+
+    def on_message_complete(self) -> None:
+        self.is_whole = True
+        self.keeps_alive = self._parser.should_keep_alive()
--- a/chervilwheel/inspection.py
+++ b/chervilwheel/inspection.py
@@ -3,9 +3,9 @@
 import pathlib
 import typing
 
+from chervilwheel import diskidentity
 from chervilwheel import errors
 from chervilwheel import journal
-from chervilwheel import keeper
 
 
 def inspect(folder: pathlib.Path) -> list[dict[str, typing.Any]]:
@@ -30,7 +30,7 @@
     name = str(path.relative_to(folder))
     data = path.read_bytes()
     row = {"file": name, "bytes": len(data), "records": 0, "state": "good"}
-    if path.name == keeper.IDENTITY_NAME:
+    if path.name == diskidentity.IDENTITY_NAME:
         return row
     try:
         frames = journal.read_frames(data, name=name)
--- a/chervilwheel/keeper.py
+++ b/chervilwheel/keeper.py
@@ -3,14 +3,12 @@
 import logging
 import pathlib
 import random
-import secrets
-import tomllib
 import typing
 
 from chervilwheel import addresses
 from chervilwheel import config
 from chervilwheel import disk
-from chervilwheel import errors
+from chervilwheel import diskidentity
 from chervilwheel import grouphost
 from chervilwheel import ids
 from chervilwheel import journal
@@ -23,8 +21,6 @@
 from chervilwheel import timers
 
 _LOG = logging.getLogger("keeper")
-IDENTITY_NAME = "identity.toml"
-FOUNDING_DISK = "founding"
 FORGET_S = 60.0
 RESIGN_S = 0.1
 
@@ -32,45 +28,6 @@
 Told = typing.Callable[[bytes], None]
 
 
-def found(folder: pathlib.Path, store: disk.Disk) -> None:
-    """Prepare a data folder for a keeper of a new cluster.
-
-    Done once for each founding keeper. A folder that was lost is never
-    founded again: its keeper starts with an empty one and is taken in.
-
-    :raises errors.StorageError: when the folder is not empty
-    """
-    if store.names(folder):
-        raise errors.StorageError(f"{folder}: the folder is not empty")
-    _write_identity(folder, store, FOUNDING_DISK)
-
-
-def _write_identity(
-    folder: pathlib.Path, store: disk.Disk, disk_id: str
-) -> None:
-    text = f'disk = "{disk_id}"\nformat_version = {journal.FORMAT_VERSION}\n'
-    store.replace(folder / IDENTITY_NAME, text.encode())
-
-
-def disk_identity(folder: pathlib.Path, store: disk.Disk) -> str:
-    """Read the identity of a data folder, or give it a new one.
-
-    :raises errors.StorageError: when the folder has data but no identity
-    """
-    names = store.names(folder)
-    if IDENTITY_NAME in names:
-        text = store.read(folder / IDENTITY_NAME).decode()
-        return str(tomllib.loads(text)["disk"])
-    if names:
-        raise errors.StorageError(f"{folder}: {IDENTITY_NAME} is missing")
-    fresh = secrets.token_hex(8)
-    _write_identity(folder, store, fresh)
-    _LOG.warning(
-        "keeper: an empty disk joins as a learner", extra={"disk": fresh}
-    )
-    return fresh
-
-
 class LedgerMachine(grouphost.Machine):
     """A zone's ledger as a state machine, with watchers."""
 
@@ -144,7 +101,7 @@
         self.hosts: dict[str, grouphost.GroupHost] = {}
         self.machines: dict[str, grouphost.Machine] = {}
         folder = pathlib.Path(cfg.instance.data_folder)
-        disk_id = disk_identity(folder, store)
+        disk_id = diskidentity.disk_identity(folder, store)
         self.me = replica.Member(ids.InstanceId(cfg.instance.name), disk_id)
         for keeper in cfg.cluster.keepers:
             links.know(
@@ -184,7 +141,10 @@
         )
         restored = book.open()
         founders = self._cfg.founders(group)
-        if self.me.disk == FOUNDING_DISK and not restored.snapshot.index:
+        if (
+            self.me.disk == diskidentity.FOUNDING_DISK
+            and not restored.snapshot.index
+        ):
             restored = restored._replace(snapshot=_first(founders))
         peer_names = [ids.InstanceId(each.name) for each in founders]
         home = group.removeprefix(config.LEDGER_PREFIX)
@@ -272,7 +232,7 @@
 
 def _first(founders: typing.Sequence[config.Keeper]) -> replica.Snapshot:
     voters = tuple(
-        replica.Member(ids.InstanceId(each.name), FOUNDING_DISK)
+        replica.Member(ids.InstanceId(each.name), diskidentity.FOUNDING_DISK)
         for each in founders
     )
     return replica.Snapshot(0, 0, replica.GroupConfig(voters), b"")
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -7,6 +7,7 @@
 from chervilwheel import ids
 from chervilwheel import jobs
 from chervilwheel import replica
+from chervilwheel.workers import work
 
 
 class Challenge(typing.NamedTuple):
@@ -299,6 +300,76 @@
     updates: tuple[MemberInfo, ...]
 
 
+class JobOffer(typing.NamedTuple):
+    """An entry host asks the holder to run a job."""
+
+    job: work.Job
+
+
+class JobAnswer(typing.NamedTuple):
+    """The holder's final word on a job."""
+
+    job: ids.JobId
+    outcome: work.Outcome
+    retry_after_ms: int
+    reason: str
+
+
+class JobCancel(typing.NamedTuple):
+    """An entry host asks the holder to stop a job."""
+
+    number: int
+    job: ids.JobId
+
+
+class JobCancelled(typing.NamedTuple):
+    """Whether the job to stop was known and had not ended."""
+
+    number: int
+    is_known: bool
+
+
+class ExecutorNews(typing.NamedTuple):
+    """A control host passes on what an executor told it."""
+
+    report: work.ExecutorReport
+
+
+class EntryBeat(typing.NamedTuple):
+    """An entry host is there; the version is of its document."""
+
+    entry: ids.InstanceId
+    document_version: int
+
+
+class QueueCount(typing.NamedTuple):
+    """Jobs of a queue that wait for their first task to start."""
+
+    queue: str
+    waiting: int
+
+
+class ControlNews(typing.NamedTuple):
+    """Who holds the executors, as a control host believes.
+
+    :ivar holder: the holder, empty when none is known
+    :ivar controls: all hosts that serve control
+    """
+
+    control: ids.InstanceId
+    holder: ids.InstanceId
+    term: int
+    controls: tuple[str, ...]
+    counts: tuple[QueueCount, ...]
+
+
+class DocumentPush(typing.NamedTuple):
+    """A committed configuration document."""
+
+    version: int
+    data: bytes
+
+
 REPLICA_KINDS = (
     replica.VoteRequest,
     replica.VoteReply,
@@ -329,5 +400,13 @@
         ZoneLoad,
         CancelJob,
         Gossip,
+        JobOffer,
+        JobAnswer,
+        JobCancel,
+        JobCancelled,
+        ExecutorNews,
+        EntryBeat,
+        ControlNews,
+        DocumentPush,
     ],
 )
--- a/chervilwheel/peers.py
+++ b/chervilwheel/peers.py
@@ -174,6 +174,8 @@
     :param loop: the stream loop
     :param heap: timers
     :param is_cut: tells whether a rehearsal drops traffic with a peer
+    :param heartbeat_s: time between heartbeats on a link, seconds
+    :param silence_s: a link without a word for this time is dropped
     """
 
     def __init__(
@@ -184,8 +186,11 @@
         loop: streams.StreamLoop,
         heap: timers.TimerHeap,
         is_cut: typing.Callable[[ids.InstanceId, str], bool],
+        heartbeat_s: float = HEARTBEAT_S,
+        silence_s: float = SILENCE_S,
     ) -> None:
         self.name = name
+        self._silence_s = silence_s
         self.is_cut = is_cut
         self.messages_sent = 0
         self.heap = heap
@@ -197,7 +202,7 @@
         self._handlers: dict[type, Handler] = {}
         self._on_lost: list[typing.Callable[[ids.InstanceId], None]] = []
         self._beats = 0
-        heap.every(HEARTBEAT_S, self._beat)
+        heap.every(heartbeat_s, self._beat)
 
     def listen(self, address: addresses.Address) -> None:
         """Accept links.
@@ -310,11 +315,11 @@
             link = known.link
             if link is None:
                 continue
-            limit_s = SILENCE_S if link.is_ready else CONNECT_S
+            limit_s = self._silence_s if link.is_ready else CONNECT_S
             if now - max(link.heard_at, known.opened_at) > limit_s:
                 self.lost(link)
             elif link.is_ready:
                 link.send(messages.Heartbeat(self._beats, False))
         for link in list(self._incoming):
-            if now - link.heard_at > 2 * SILENCE_S:
+            if now - link.heard_at > 2 * self._silence_s:
                 self.lost(link)
--- a/chervilwheel/replica.py
+++ b/chervilwheel/replica.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 import random
 import typing
 
@@ -18,6 +19,10 @@
 JOIN_S = 0.5
 RELUCTANCE = 3.0
 ANSWERING_BEATS = 3.0
+# Clocks of hosts differ in speed by far less than a tenth.
+LEASE_SHARE = 0.9
+# Longer than a restart, so that a voter that comes back keeps its vote.
+SILENT_S = 8.0
 
 Entry = _replicalog.Entry
 EntryKind = _replicalog.EntryKind
@@ -56,12 +61,13 @@
 class _Progress:
     """What the leader knows of another member."""
 
-    __slots__ = ("match", "next", "heard_at", "snapshot_offset")
+    __slots__ = ("match", "next", "heard_at", "answered", "snapshot_offset")
 
     def __init__(self, *, next_index: int, now: float) -> None:
         self.match = 0
         self.next = next_index
         self.heard_at = now
+        self.answered = 0.0
         self.snapshot_offset = -1
 
 
@@ -76,6 +82,8 @@
     :param now: monotonic time, seconds
     :param timing: times of the group
     :param is_reluctant: whether it leads only when no other can
+    :param voters_wanted: learners become voters up to this number, and
+        then in place of voters that are silent; 0 for any number
     """
 
     def __init__(
@@ -89,6 +97,7 @@
         now: float,
         timing: Timing,
         is_reluctant: bool = False,
+        voters_wanted: int = 0,
     ) -> None:
         self.group = group
         self.me = me
@@ -104,6 +113,7 @@
         self._rng = rng
         self._timing = timing
         self._is_reluctant = is_reluctant
+        self._voters_wanted = voters_wanted
         self._handed_out = self.commit
         self._durable = self.log.last_index
         self._votes: set[Member] = set()
@@ -115,6 +125,9 @@
         self._beats_at = now
         self._is_transfer = False
         self._actions = Actions()
+        self._now = now
+        self._stamp = 0.0
+        self._transferred = -1
         self._config_index, self.config = self.log.config()
         self._reset_election(now)
 
@@ -140,6 +153,29 @@
         ]
         return self._is_quorum(answering)
 
+    def leads_until(self) -> float:
+        """Tell until when no other can have been elected, seconds.
+
+        It counts from when messages that a quorum answered were sent, so
+        answers that waited while this host was suspended prove nothing.
+        """
+        is_new = self.log.term_at(self.commit) != self.term
+        if not self.is_leader or is_new or self._transferred == self.term:
+            return 0.0
+        stamps = [
+            math.inf
+            if member == self.me
+            else self._progress[member].answered
+            if member in self._progress
+            else 0.0
+            for member in self.config.voters
+        ]
+        stamps.sort(reverse=True)
+        quorum = len(stamps) // 2
+        if stamps[quorum] == math.inf:
+            return math.inf
+        return stamps[quorum] + LEASE_SHARE * self._timing.election_s
+
     def take(self) -> Actions:
         """Hand out what has to be done, once."""
         actions = self._actions
@@ -165,6 +201,7 @@
         :raises errors.NotLeader: when this member doesn't lead
         """
         self._require_leader()
+        self._now = now
         for data in commands:
             self._append(EntryKind.COMMAND, data=data)
         self._broadcast(now)
@@ -215,6 +252,7 @@
 
     def tick(self, now: float) -> None:
         """Do what is due."""
+        self._now = now
         if self.is_leader:
             self._tick_leader(now)
         elif not self.is_voter:
@@ -224,6 +262,7 @@
 
     def receive(self, message: Message, now: float) -> None:
         """Take a message in; those for a former disk are dropped."""
+        self._now = now
         if isinstance(message, JoinRequest):
             self._on_join(message, now)
             return
@@ -442,6 +481,7 @@
             prev_term=self.log.term_at(prev) or 0,
             commit=self.commit,
             entries=entries,
+            stamp=self._now,
         )
         progress.next += len(entries)
         self._early(request)
@@ -469,6 +509,7 @@
         if not self.is_leader or message.term != self.term or progress is None:
             return
         progress.heard_at = now
+        progress.answered = max(progress.answered, message.stamp)
         if progress.snapshot_offset >= 0:
             self._on_chunk_reply(message, progress)
             return
@@ -541,6 +582,7 @@
         ]
         if ready:
             target = max(ready, key=lambda m: self._progress[m].heard_at)
+            self._transferred = self.term
             self._early(Campaign(self.group, target, self.me, self.term))
 
     def _may_change_config(self) -> bool:
@@ -588,11 +630,28 @@
             return
         if progress.match < self.commit:
             return
+        if 0 < self._voters_wanted <= len(config.voters):
+            self._replace_silent(config, now)
+            return
         learners = tuple(m for m in config.learners if m != member)
         voters = (*config.voters, member)
         self.change_config(GroupConfig(voters, learners), now)
 
+    def _replace_silent(self, config: GroupConfig, now: float) -> None:
+        """Take the vote of a voter that has been silent for long."""
+        silent = [
+            member
+            for member in config.voters
+            if member != self.me
+            and now - self._progress[member].heard_at > SILENT_S
+        ]
+        if not silent:
+            return
+        voters = tuple(m for m in config.voters if m != silent[0])
+        self.change_config(GroupConfig(voters, config.learners), now)
+
     def _on_append(self, message: AppendRequest, now: float) -> None:
+        self._stamp = message.stamp
         if message.term < self.term:
             self._reply_append(message.sender, False, 0)
             return
@@ -631,10 +690,12 @@
             term=self.term,
             is_accepted=accepted,
             index=index,
+            stamp=self._stamp,
         )
         self._late(reply)
 
     def _on_snapshot(self, message: SnapshotChunk, now: float) -> None:
+        self._stamp = 0.0
         if message.term < self.term:
             self._reply_append(message.sender, False, 0)
             return
--- a/chervilwheel/replicamessages.py
+++ b/chervilwheel/replicamessages.py
@@ -37,7 +37,10 @@
 
 
 class AppendRequest(typing.NamedTuple):
-    """Entries after ``prev_index``; without entries a heartbeat."""
+    """Entries after ``prev_index``; without entries a heartbeat.
+
+    ``stamp`` is the leader's time of sending, which the reply repeats.
+    """
 
     group: str
     to: Member
@@ -47,6 +50,7 @@
     prev_term: int
     commit: int
     entries: tuple[Entry, ...]
+    stamp: float = 0.0
 
 
 class AppendReply(typing.NamedTuple):
@@ -61,6 +65,7 @@
     term: int
     is_accepted: bool
     index: int
+    stamp: float = 0.0
 
 
 class SnapshotChunk(typing.NamedTuple):
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -46,6 +46,7 @@
   prevTerm @5 :UInt64;
   commit @6 :UInt64;
   entries @7 :List(Entry);
+  stamp @8 :Float64;
 }
 
 struct AppendReply {
@@ -55,6 +56,7 @@
   term @3 :UInt64;
   isAccepted @4 :Bool;
   index @5 :UInt64;
+  stamp @6 :Float64;
 }
 
 struct SnapshotChunk {
@@ -248,6 +250,83 @@
   updates @5 :List(MemberInfo);
 }
 
+struct Address { host @0 :Text; port @1 :UInt16; }
+
+struct Room {
+  cpu @0 :Int64;
+  memoryMb @1 :Int64;
+  accelerators @2 :Int64;
+}
+
+struct Step {
+  count @0 :UInt32;
+  room @1 :Room;
+  estimatedMs @2 :UInt64;
+  dependsOn @3 :List(UInt16);
+  requiredLabel @4 :Text;
+  preferredRack @5 :Text;
+  mostTogether @6 :UInt32;
+}
+
+struct Job {
+  id @0 :Text;
+  queue @1 :Text;
+  service @2 :Text;
+  priority @3 :Int32;
+  attempts @4 :UInt32;
+  stretch @5 :Float64;
+  targetMs @6 :UInt64;
+  patienceMs @7 :UInt64;
+  spec @8 :Text;
+  steps @9 :List(Step);
+  offers @10 :UInt32;
+}
+
+struct ExecutorReport {
+  id @0 :Text;
+  service @1 :Text;
+  address @2 :Address;
+  zone @3 :Text;
+  room @4 :Room;
+  labels @5 :List(Text);
+  isDraining @6 :Bool;
+  isGone @7 :Bool;
+  remainingMs @8 :UInt64;
+  clockMs @9 :UInt64;
+  sequence @10 :UInt64;
+}
+
+struct JobOffer { job @0 :Job; }
+
+struct JobAnswer {
+  job @0 :Text;
+  outcome @1 :Text;
+  retryAfterMs @2 :UInt64;
+  reason @3 :Text;
+}
+
+struct JobCancel { number @0 :UInt64; job @1 :Text; }
+struct JobCancelled { number @0 :UInt64; isKnown @1 :Bool; }
+
+struct ExecutorNews { report @0 :ExecutorReport; }
+
+struct EntryBeat {
+  entry @0 :Text;
+  documentVersion @1 :UInt64;
+}
+
+struct QueueCount { queue @0 :Text; waiting @1 :UInt32; }
+
+struct ControlNews {
+  control @0 :Text;
+  holder @1 :Text;
+  term @2 :UInt64;
+  controls @3 :List(Text);
+  counts @4 :List(QueueCount);
+}
+
+struct DocumentPush { version @0 :UInt64; data @1 :Data; }
+
 struct Peer {
   union {
     voteRequest @0 :VoteRequest;
@@ -272,5 +351,13 @@
     zoneLoad @19 :ZoneLoad;
     cancelJob @20 :CancelJob;
     gossip @21 :Gossip;
+    jobOffer @22 :JobOffer;
+    jobAnswer @23 :JobAnswer;
+    jobCancel @24 :JobCancel;
+    jobCancelled @25 :JobCancelled;
+    executorNews @26 :ExecutorNews;
+    entryBeat @27 :EntryBeat;
+    controlNews @28 :ControlNews;
+    documentPush @29 :DocumentPush;
   }
 }
--- a/chervilwheel/schema/records.capnp
+++ b/chervilwheel/schema/records.capnp
@@ -154,6 +154,10 @@
   lastWallMs @6 :UInt64;
 }
 
+struct PutDocument { version @0 :UInt64; data @1 :Data; }
+struct ReadDocument { unused @0 :Void; }
+struct DocumentReply { version @0 :UInt64; data @1 :Data; }
+
 struct Record {
   union {
     header @0 :Header;
@@ -176,5 +180,8 @@
     changeReply @17 :ChangeReply;
     historyReply @18 :HistoryReply;
     policiesState @19 :PoliciesState;
+    putDocument @20 :PutDocument;
+    readDocument @21 :ReadDocument;
+    documentReply @22 :DocumentReply;
   }
 }
--- /dev/null
+++ b/chervilwheel/workers/engine.py
@@ -0,0 +1,680 @@
+"""Assign tasks to leased executors: decisions only, no network, no clock.
+
+The engine of one holder. Messages and time go in; orders and answers
+come out of :meth:`Engine.take`. It answers a standing load of about 70%
+of the room, in tasks of 60 to 900 ms.
+"""
+
+import logging
+
+from chervilwheel import ids
+from chervilwheel.workers import executors
+from chervilwheel.workers import health
+from chervilwheel.workers import jobstate
+from chervilwheel.workers import placement
+from chervilwheel.workers import work
+
+_LOG = logging.getLogger("engine")
+
+# Shorter than the platform's bound of 1 s, so that the tasks of a lost
+# executor may start elsewhere sooner; renewed at least each HOLD_WAIT_S.
+LEASE_S = 0.7
+HOLD_WAIT_S = 0.25
+# An order to start is void after this time, answered or not.
+START_LEASE_S = 0.35
+# Ends are noted with the next renewal, or after this time without one.
+NOTE_DELAY_S = 0.2
+# A renewal that failed is tried again after this time.
+HOLD_RETRY_S = 0.15
+# A run whose share of work doesn't move for this time stands still.
+STILL_S = 0.4
+STOP_RETRY_S = 0.15
+# Full answers are remembered for callers that ask again.
+REMEMBER_S = 10.0
+# Three heartbeats without a word.
+FORGET_S = 5.0
+NO_ROOM_PAUSE_S = 0.05
+UNHEALTHY_PAUSE_S = 0.5
+FENCED_PAUSE_S = 1.0
+
+
+class Engine:
+    """Hold executors and run jobs on them.
+
+    :param token: the fencing token of this holder
+    :param now: monotonic time, seconds
+    :param knows_all: whether the reports handed in cover all executors
+        that a former holder may have used
+    """
+
+    def __init__(self, *, token: int, now: float, knows_all: bool) -> None:
+        self.token = token
+        self.executors: dict[work.ExecutorId, executors.Executor] = {}
+        self.jobs: dict[ids.JobId, jobstate.JobState] = {}
+        self._health: dict[work.ExecutorId, health.Health] = {}
+        self._waiting: list[jobstate.JobState] = []
+        self._over: list[jobstate.JobState] = []
+        self._actions: list[work.Action] = []
+        self._settles_at = now + LEASE_S * 1.02 + executors.LEASE_MARGIN_S
+        self._knows_all = knows_all
+        self._is_settled = False
+        self._found_done: set[work.TaskId] = set()
+        self.starts = 0
+        self.refusals = 0
+
+    def take(self) -> list[work.Action]:
+        """Hand out what has to be done, once."""
+        actions, self._actions = self._actions, []
+        return actions
+
+    def report(self, report: work.ExecutorReport, now: float) -> None:
+        """Take in what an executor says of itself."""
+        known = self.executors.get(report.id)
+        if known is None:
+            if report.is_gone:
+                return
+            known = executors.Executor(report=report, heard_at=now)
+            self.executors[report.id] = known
+            self._health[report.id] = health.Health()
+        elif report.is_gone:
+            self._lose(known, now)
+            return
+        elif report.sequence < known.report.sequence:
+            return
+        if report.is_draining and not known.report.is_draining:
+            known.draining_since = now
+        known.report = report
+        known.heard_at = now
+        known.learn_clock(report.clock_ms, now)
+        self._tend(known, now)
+
+    def offer(self, job: work.Job, entry: ids.InstanceId, now: float) -> None:
+        """Take a job in, or attach to the one under its id."""
+        known = self.jobs.get(job.id)
+        if known is not None:
+            known.entry = entry
+            if not known.is_over:
+                return
+            if known.answer and known.answer.outcome is work.Outcome.COMPLETED:
+                self._actions.append(known.answer)
+                return
+            if known.unsettled:
+                self._actions.append(
+                    work.Answer(job.id, work.Outcome.LOST, reason="unsettled")
+                )
+                return
+            if known.is_started:
+                job = job._replace(offers=job.offers + known.job.offers + 1)
+            if known in self._over:
+                self._over.remove(known)
+        state = jobstate.JobState(job=job, entry=entry, now=now)
+        state.is_settling = job.offers > 0 and not self._is_settled
+        self.jobs[job.id] = state
+        if state.is_settling:
+            self._adopt(state)
+        self._waiting.append(state)
+        self._place(now)
+
+    def cancel(self, job: ids.JobId, now: float) -> bool:
+        """Stop a job.
+
+        :returns: whether it was known and had not ended
+        """
+        known = self.jobs.get(job)
+        if known is None or known.is_over:
+            return False
+        self._finish(known, work.Outcome.CANCELLED, now, reason="cancelled")
+        self._place(now)
+        return True
+
+    def lose_entry(self, entry: ids.InstanceId, now: float) -> None:
+        """Stop the jobs of an entry host that is silent."""
+        for state in list(self.jobs.values()):
+            if state.entry == entry and not state.is_over:
+                self._finish(
+                    state, work.Outcome.CANCELLED, now, reason="entry_lost"
+                )
+
+    def started(
+        self,
+        order: work.StartOrder,
+        verdict: work.StartVerdict,
+        clock_ms: int,
+        now: float,
+    ) -> None:
+        """Learn what an executor answered to an order to start."""
+        known = self.executors.get(order.executor)
+        if known is None:
+            return
+        if clock_ms:
+            known.learn_clock(clock_ms, now)
+        run = known.runs.get(order.task)
+        if run is None or run.number != order.run:
+            return
+        if verdict is work.StartVerdict.STARTED:
+            run.confirmed_at = now
+            run.percent_at = now
+            if run.state is not executors.RunState.STOPPING:
+                run.state = executors.RunState.RUNNING
+            return
+        if verdict is work.StartVerdict.UNKNOWN:
+            if run.state is executors.RunState.STARTING:
+                run.state = executors.RunState.UNSURE
+            known.unusable_until = now + HOLD_RETRY_S
+            self._hold(known, now)
+            return
+        self._not_started(known, run, verdict, now)
+
+    def _not_started(
+        self,
+        known: executors.Executor,
+        run: executors.Run,
+        verdict: work.StartVerdict,
+        now: float,
+    ) -> None:
+        pauses = {
+            work.StartVerdict.NO_ROOM: NO_ROOM_PAUSE_S,
+            work.StartVerdict.UNHEALTHY: UNHEALTHY_PAUSE_S,
+            work.StartVerdict.FENCED: FENCED_PAUSE_S,
+            work.StartVerdict.NOT_SENT: HOLD_RETRY_S,
+        }
+        pause_s = pauses.get(verdict, 0.0)
+        known.unusable_until = max(known.unusable_until, now + pause_s)
+        if verdict is work.StartVerdict.OTHER_LIFE:
+            self._lose(known, now)
+            return
+        if verdict is work.StartVerdict.FENCED:
+            known.is_synced = False
+        _LOG.info(
+            "engine: a start was refused",
+            extra={
+                "task": run.task,
+                "executor": known.id,
+                "verdict": verdict.value,
+            },
+        )
+        known.drop(run.task)
+        self._again(run, now)
+        self._place(now)
+
+    def held(
+        self,
+        order: work.HoldOrder,
+        answer: work.HoldAnswer,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Learn what an executor answered to a renewal of its lease."""
+        known = self.executors.get(order.executor)
+        if known is None:
+            return
+        known.is_holding = False
+        if answer.verdict is work.HoldVerdict.OTHER_LIFE:
+            self._lose(known, now)
+            return
+        if answer.verdict is not work.HoldVerdict.HELD:
+            self._not_held(known, answer, now)
+            return
+        known.silent_since = 0.0
+        known.learn_clock(answer.clock_ms, now)
+        known.told_upto = max(known.told_upto, order.noted_upto)
+        if not known.is_synced:
+            self._sync(known, answer, now)
+        else:
+            self._compare(known, answer, sent_at, now)
+        self._place(now)
+        self._tend(known, now)
+
+    def _not_held(
+        self,
+        known: executors.Executor,
+        answer: work.HoldAnswer,
+        now: float,
+    ) -> None:
+        if not known.silent_since:
+            known.silent_since = now
+            _LOG.info(
+                "engine: an executor doesn't answer",
+                extra={"executor": known.id, "runs": len(known.runs)},
+            )
+        pause_s = HOLD_RETRY_S
+        if answer.verdict is work.HoldVerdict.FENCED:
+            known.is_synced = False
+            pause_s = FENCED_PAUSE_S
+        known.unusable_until = max(known.unusable_until, now + pause_s)
+
+    def _sync(
+        self,
+        known: executors.Executor,
+        answer: work.HoldAnswer,
+        now: float,
+    ) -> None:
+        """Take over what an executor runs on a former holder's order."""
+        known.is_synced = True
+        for end in answer.ended:
+            if end.kind is work.EndKind.DONE:
+                self._found_done.add(end.task)
+                state = self.jobs.get(end.task.job)
+                if state is not None and state.is_settling:
+                    self._task_done(state, end.task, now)
+            known.noted_upto = max(known.noted_upto, end.number)
+        for row in answer.running:
+            if row.task in known.runs:
+                continue
+            state = self.jobs.get(row.task.job)
+            run = executors.Run(
+                task=row.task,
+                number=row.run,
+                room=known.report.room,
+                state=executors.RunState.RUNNING,
+                ordered_at=now,
+                expected_s=0.0,
+                confirmed_at=now,
+                percent=row.percent,
+                percent_at=now,
+            )
+            known.add(run)
+            if state is not None and state.is_settling:
+                self._adopt_run(state, known, run)
+            elif self._is_settled:
+                self._stop(known, run, now)
+        listed = {row.task for row in answer.running}
+        for run in list(known.runs.values()):
+            is_old = run.confirmed_at and run.confirmed_at < now - LEASE_S
+            if run.task not in listed and is_old:
+                known.drop(run.task)
+                self._again(run, now)
+
+    def _compare(
+        self,
+        known: executors.Executor,
+        answer: work.HoldAnswer,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        for end in answer.ended:
+            if end.number <= known.noted_upto:
+                continue
+            known.noted_upto = end.number
+            self._ended(known, end, now)
+        rows = {row.task: row for row in answer.running}
+        for run in list(known.runs.values()):
+            row = rows.get(run.task)
+            if row is not None and row.run == run.number:
+                self._seen(known, run, row, now)
+            elif run.state is executors.RunState.UNSURE:
+                if answer.clock_ms > run.order_deadline_ms:
+                    known.drop(run.task)
+                    self._again(run, now)
+            elif run.confirmed_at and run.confirmed_at < sent_at:
+                # Listed neither as running nor as ended: it is no more.
+                known.drop(run.task)
+                self._again(run, now)
+
+    def _seen(
+        self,
+        known: executors.Executor,
+        run: executors.Run,
+        row: work.RunRow,
+        now: float,
+    ) -> None:
+        if not run.confirmed_at:
+            run.confirmed_at = now
+            run.percent_at = now
+        if run.state in (
+            executors.RunState.STARTING,
+            executors.RunState.UNSURE,
+        ):
+            run.state = executors.RunState.RUNNING
+        if row.percent != run.percent:
+            run.percent = row.percent
+            run.percent_at = now
+        is_still = now - run.percent_at > STILL_S
+        if run.state is executors.RunState.STOPPING:
+            if now - run.stop_sent_at > STOP_RETRY_S:
+                self._stop(known, run, now)
+        elif is_still and run.percent < 100:
+            _LOG.info(
+                "engine: a run stands still",
+                extra={
+                    "task": run.task,
+                    "executor": known.id,
+                    "percent": run.percent,
+                },
+            )
+            self._blame(known, now, weight=health.MAX_FAILURES)
+            self._stop(known, run, now)
+
+    def _ended(
+        self, known: executors.Executor, end: work.RunEnd, now: float
+    ) -> None:
+        run = known.runs.get(end.task)
+        if run is None or run.number != end.run:
+            return
+        known.drop(end.task)
+        judge = self._health[known.id]
+        if end.kind is work.EndKind.DONE:
+            judge.succeeded()
+        elif end.kind is work.EndKind.FAILED:
+            self._blame(known, now)
+        state = self.jobs.get(end.task.job)
+        if state is None:
+            return
+        state.unsettled -= 1
+        if state.is_over:
+            return
+        if end.kind is work.EndKind.DONE:
+            self._task_done(state, end.task, now)
+            return
+        task = state.find(end.task)
+        if task is None:
+            return
+        task.executor = None
+        task.next_run = run.number + 1
+        if end.kind is work.EndKind.FAILED:
+            task.failures += 1
+            if task.failures >= state.job.attempts:
+                self._finish(
+                    state, work.Outcome.FAILED, now, reason="attempts"
+                )
+                return
+        state.pending.insert(0, task)
+
+    def _blame(
+        self, known: executors.Executor, now: float, *, weight: int = 1
+    ) -> None:
+        verdict = self._health[known.id].failed(weight=weight)
+        if verdict.pause_s:
+            until = now + verdict.pause_s
+            known.unusable_until = max(known.unusable_until, until)
+            _LOG.info(
+                "engine: an executor is left out",
+                extra={"executor": known.id, "pause_s": verdict.pause_s},
+            )
+
+    def _lose(self, known: executors.Executor, now: float) -> None:
+        """Forget an executor whose life is over, with all its runs."""
+        known.is_gone = True
+        self.executors.pop(known.id, None)
+        self._health.pop(known.id, None)
+        _LOG.info(
+            "engine: an executor is gone",
+            extra={"executor": known.id, "runs": len(known.runs)},
+        )
+        for run in list(known.runs.values()):
+            known.drop(run.task)
+            self._again(run, now)
+        self._place(now)
+
+    def _again(self, run: executors.Run, now: float) -> None:
+        """Make the task of a run that is no more pending again."""
+        state = self.jobs.get(run.task.job)
+        if state is None:
+            return
+        state.unsettled -= 1
+        task = state.find(run.task)
+        if state.is_over or task is None or task.is_done:
+            return
+        task.executor = None
+        task.next_run = run.number + 1
+        if task not in state.pending:
+            state.pending.insert(0, task)
+
+    def _stop(
+        self, known: executors.Executor, run: executors.Run, now: float
+    ) -> None:
+        run.state = executors.RunState.STOPPING
+        run.stop_sent_at = now
+        self._actions.append(
+            work.StopOrder(
+                known.id,
+                known.report.address,
+                run.task,
+                run.number,
+                self.token,
+            )
+        )
+
+    def _adopt(self, state: jobstate.JobState) -> None:
+        for known in self.executors.values():
+            for run in list(known.runs.values()):
+                if run.task.job == state.job.id:
+                    self._adopt_run(state, known, run)
+        for task in [t for t in self._found_done if t.job == state.job.id]:
+            self._task_done(state, task, state.arrived_at)
+
+    def _adopt_run(
+        self,
+        state: jobstate.JobState,
+        known: executors.Executor,
+        run: executors.Run,
+    ) -> None:
+        task = state.find(run.task)
+        if task is None or task.executor is not None or task.is_done:
+            return
+        known.drop(run.task)
+        run.room = state.job.steps[run.task.step].room
+        known.add(run)
+        state.unsettled += 1
+        state.is_started = True
+        task.executor = known.id
+        task.next_run = run.number + 1
+        if task in state.pending:
+            state.pending.remove(task)
+
+    def _task_done(
+        self, state: jobstate.JobState, task_id: work.TaskId, now: float
+    ) -> None:
+        task = state.find(task_id)
+        if task is None or state.is_over:
+            return
+        state.is_started = True
+        state.done(task)
+        if state.is_complete:
+            self._finish(state, work.Outcome.COMPLETED, now)
+
+    def _finish(
+        self,
+        state: jobstate.JobState,
+        outcome: work.Outcome,
+        now: float,
+        *,
+        reason: str = "",
+        retry_after_ms: int = 0,
+    ) -> None:
+        state.answer = work.Answer(
+            state.job.id, outcome, retry_after_ms, reason
+        )
+        state.ended_at = now
+        state.pending = []
+        self._actions.append(state.answer)
+        self._over.append(state)
+        if state in self._waiting:
+            self._waiting.remove(state)
+        for row in state.tasks:
+            for task in row:
+                known = self.executors.get(task.executor or "")
+                run = known.runs.get(task.id) if known else None
+                if known is None or run is None:
+                    continue
+                if run.state is not executors.RunState.STOPPING:
+                    self._stop(known, run, now)
+
+    def _place(self, now: float) -> None:
+        """Order starts for waiting tasks, and refuse what can't wait."""
+        self._waiting.sort(key=_urgency)
+        kept = []
+        for state in list(self._waiting):
+            if state.is_over:
+                continue
+            if not state.is_settling:
+                self._place_job(state, now)
+            if state.pending or not state.is_started or any(state.undone):
+                kept.append(state)
+        self._waiting = [each for each in kept if not each.is_over]
+
+    def _place_job(self, state: jobstate.JobState, now: float) -> None:
+        while state.pending:
+            task = state.pending[0]
+            step = state.job.steps[task.id.step]
+            known = placement.choose(
+                self.executors.values(),
+                task.id,
+                step,
+                state.job.service,
+                now,
+            )
+            if known is None:
+                return
+            state.pending.pop(0)
+            self._start(state, task, step, known, now)
+
+    def _start(
+        self,
+        state: jobstate.JobState,
+        task: jobstate.Task,
+        step: work.Step,
+        known: executors.Executor,
+        now: float,
+    ) -> None:
+        deadline_ms = known.deadline_ms(now, START_LEASE_S)
+        run = executors.Run(
+            task=task.id,
+            number=task.next_run,
+            room=step.room,
+            state=executors.RunState.STARTING,
+            ordered_at=now,
+            expected_s=step.estimated_ms / 1000,
+            order_deadline_ms=deadline_ms,
+        )
+        known.add(run)
+        known.lease_deadline_ms = max(known.lease_deadline_ms, deadline_ms)
+        task.executor = known.id
+        state.is_started = True
+        state.unsettled += 1
+        self.starts += 1
+        self._actions.append(
+            work.StartOrder(
+                known.id,
+                known.report.address,
+                task.id,
+                run.number,
+                state.job.spec,
+                deadline_ms,
+                self.token,
+            )
+        )
+        self._hold(known, now)
+
+    def tick(self, now: float) -> None:
+        """Do what is due."""
+        self._settle_if_due(now)
+        for known in list(self.executors.values()):
+            self._tend(known, now)
+        self._refuse_late(now)
+        self._place(now)
+        self._forget(now)
+
+    def _settle_if_due(self, now: float) -> None:
+        if self._is_settled:
+            return
+        all_synced = all(e.is_synced for e in self.executors.values())
+        is_early = self._knows_all and self.executors and all_synced
+        if not is_early and now < self._settles_at:
+            return
+        self._is_settled = True
+        self._found_done.clear()
+        for state in self.jobs.values():
+            state.is_settling = False
+        for known in self.executors.values():
+            for run in list(known.runs.values()):
+                if run.task.job not in self.jobs:
+                    self._stop(known, run, now)
+
+    def _tend(self, known: executors.Executor, now: float) -> None:
+        """Renew a lease when it is due, and drop what has lapsed."""
+        if known.silent_since:
+            self._drop_lapsed(known, now)
+        if not known.runs and now - known.heard_at > FORGET_S:
+            self._lose(known, now)
+            return
+        if known.is_holding:
+            return
+        waited_s = now - known.hold_sent_at
+        if known.silent_since or not known.is_synced:
+            is_due = waited_s >= HOLD_RETRY_S and bool(known.clock_at)
+        elif known.runs:
+            is_due = True
+        else:
+            is_unsaid = known.noted_upto > known.told_upto
+            is_due = is_unsaid and waited_s >= NOTE_DELAY_S
+        if is_due:
+            self._hold(known, now)
+
+    def _drop_lapsed(self, known: executors.Executor, now: float) -> None:
+        """Drop the runs of a silent executor whose leases have ended."""
+        for run in list(known.runs.values()):
+            deadline_ms = max(known.lease_deadline_ms, run.order_deadline_ms)
+            if now >= known.passes_at(deadline_ms):
+                known.drop(run.task)
+                self._again(run, now)
+
+    def _hold(self, known: executors.Executor, now: float) -> None:
+        if known.is_holding:
+            return
+        known.is_holding = True
+        known.hold_sent_at = now
+        deadline_ms = known.deadline_ms(now, LEASE_S)
+        known.lease_deadline_ms = max(known.lease_deadline_ms, deadline_ms)
+        wait_ms = int(HOLD_WAIT_S * 1000)
+        if not known.runs or not known.is_synced or known.silent_since:
+            wait_ms = 0
+        self._actions.append(
+            work.HoldOrder(
+                known.id,
+                known.report.address,
+                deadline_ms,
+                self.token,
+                known.noted_upto,
+                wait_ms,
+            )
+        )
+
+    def _refuse_late(self, now: float) -> None:
+        for state in list(self._waiting):
+            if state.is_started or state.is_over or state.job.offers:
+                continue
+            waits_s = state.objective_s - state.longest_s
+            if now - state.arrived_at >= waits_s:
+                self.refusals += 1
+                self._finish(
+                    state,
+                    work.Outcome.REFUSED,
+                    now,
+                    reason="no_room",
+                    retry_after_ms=1000,
+                )
+
+    def _forget(self, now: float) -> None:
+        kept = []
+        for state in self._over:
+            is_old = now - state.ended_at > REMEMBER_S
+            if is_old and state.unsettled <= 0:
+                if self.jobs.get(state.job.id) is state:
+                    del self.jobs[state.job.id]
+            else:
+                kept.append(state)
+        self._over = kept
+
+    def waiting_by_queue(self) -> dict[str, int]:
+        """Count the jobs of each queue that have not started."""
+        counts: dict[str, int] = {}
+        for state in self._waiting:
+            if not state.is_started:
+                name = state.job.queue
+                counts[name] = counts.get(name, 0) + 1
+        return counts
+
+
+def _urgency(state: jobstate.JobState) -> tuple[bool, int, float]:
+    return (not state.is_started, state.job.priority, state.arrived_at)
