An engine's leases end for a silent executor; schedules of the engine

Cause: renewals that were tried again at a silent executor each lengthened the lease that its runs had to outlive, so that tasks of a crashed executor never started elsewhere.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -624,7 +624,10 @@
             return
         known.is_holding = True
         known.hold_sent_at = now
-        deadline_ms = known.deadline_ms(now, LEASE_S)
+        # While it is silent its lease must come to an end.
+        deadline_ms = 0
+        if not known.silent_since:
+            deadline_ms = known.deadline_ms(now, LEASE_S)
         known.lease_deadline_ms = max(known.lease_deadline_ms, deadline_ms)
         wait_ms = int(HOLD_WAIT_S * 1000)
         if not known.runs or not known.is_synced or known.silent_since:
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -209,7 +209,11 @@
 
 
 class HoldOrder(typing.NamedTuple):
-    """Renew a lease, take note of ends, and wait for the next one."""
+    """Renew a lease, take note of ends, and wait for the next one.
+
+    :ivar deadline_ms: the lease's end on the executor's clock, 0 to leave
+        the lease as it is
+    """
 
     executor: ExecutorId
     address: addresses.Address
