An entry host holds the executors while no leader can

Ruled out: the election (the log had no quorum for 3.5 s). Now the first of the entry hosts that hear each other holds, under a token of its own side (control/standby.py), and hands over to any leader. Beats are 0.15 s and elections 0.4 s (0.25 and 0.6 before).

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -14,37 +14,26 @@
 from chervilwheel.control import documents
 from chervilwheel.control import founding
 from chervilwheel.control import groupcalls
-from chervilwheel.control import holder
+from chervilwheel.control import holding
 from chervilwheel.control import nodesettings
 from chervilwheel.control import runtime
 from chervilwheel.control import tokens
-from chervilwheel.workers import engine
 from chervilwheel.workers import ports
 from chervilwheel.workers import work
 
 _LOG = logging.getLogger("control")
-# Four heartbeats fit into an election; a sync takes some 10 ms.
-TIMING = replica.Timing(heartbeat_s=0.12, election_s=0.6)
+# Five heartbeats fit into an election; a sync takes some 10 ms.
+TIMING = replica.Timing(heartbeat_s=0.08, election_s=0.4)
 WATCH_S = 0.03
-NEWS_S = 0.25
-# An entry host is lost after this time without a beat: three of them.
-ENTRY_SILENCE_S = 0.8
-ENTRY_FORGET_S = 10.0
-# Reports older than this say nothing of an executor.
-REPORT_AGE_S = 6.0
+NEWS_S = 0.15
+# As long a holder without a quorum may hold an executor.
+REPORT_AGE_S = 60.0
 # The operator waits a second for an answer.
 GIVE_UP_S = 0.9
 COMPACT_BYTES = 2 * 1024 * 1024
 STOP_LINGER_S = 1.0
 
 
-class _EntryLink(typing.NamedTuple):
-    """The link to an entry host, and when it spoke last."""
-
-    link: peers.Link
-    heard_at: float
-
-
 class ControlHost:
     """Keep the document, hear executors, and hold them when leading.
 
@@ -64,14 +53,20 @@
         self._cfg = node.cfg
         self._heap = node.heap
         self._decoder = decoder
-        self._port = port
         self._reports: dict[
             work.ExecutorId, tuple[float, work.ExecutorReport]
         ] = {}
-        self._entries: dict[ids.InstanceId, _EntryLink] = {}
         self._started_at = self._heap.clock.now()
         self._is_stopping = False
-        self.holder: holder.Holder | None = None
+        self._is_push_due = False
+        self.holding = holding.Holding(
+            me=node.cfg.id,
+            heap=node.heap,
+            links=node.links,
+            port=port,
+            refuse=lambda link: link.send(self._news()),
+            answered=lambda _answer: None,
+        )
         self.machine = documents.DocumentMachine(applied=self._on_document)
         self._group = self._open_group(node.cfg)
         self._calls = groupcalls.GroupCalls(
@@ -91,7 +86,7 @@
         self._take_report(report)
         for name in self._controls():
             if name != self._cfg.id:
-                news = messages.ExecutorNews(report)
+                news = messages.ExecutorNews((report,))
                 self._node.links.send(name, news)
 
     def put(self, data: bytes, done: typing.Callable[[bool], None]) -> None:
@@ -187,8 +182,6 @@
             links.handle(kind, self._on_replica_message)
         links.handle(messages.ExecutorNews, self._on_executor_news)
         links.handle(messages.EntryBeat, self._on_entry_beat)
-        links.handle(messages.JobOffer, self._on_offer)
-        links.handle(messages.JobCancel, self._on_cancel)
 
     def _controls(self) -> list[ids.InstanceId]:
         names = {member.name for member in self.member.config.members}
@@ -205,13 +198,16 @@
     def _on_executor_news(
         self, _link: peers.Link, message: messages.ExecutorNews
     ) -> None:
-        self._take_report(message.report)
+        for report in message.reports:
+            self._take_report(report)
 
     def _take_report(self, report: work.ExecutorReport) -> None:
         known = self._reports.get(report.id)
         if known is not None and known[1].sequence > report.sequence:
             return
-        if known is None or known[1].is_draining != report.is_draining:
+        is_news = known is None or _facts(known[1]) != _facts(report)
+        if is_news:
+            self.holding.tell_reports([report])
             _LOG.info(
                 "control: an executor reported",
                 extra={
@@ -221,47 +217,31 @@
                 },
             )
         self._reports[report.id] = (self._heap.clock.now(), report)
-        if self.holder is not None:
-            self.holder.report(report)
+        self.holding.report(report)
 
     def _on_entry_beat(
         self, link: peers.Link, message: messages.EntryBeat
     ) -> None:
-        self._hear(link)
+        former = self.holding.entries.get(link.peer)
+        self.holding.hear(link)
         if message.document_version < self.machine.version:
             self._push(link)
+        if former is None or former.link is not link:
+            reports = tuple(each for _, each in self._reports.values())
+            link.send(messages.ExecutorNews(reports))
         link.send(self._news())
 
-    def _hear(self, link: peers.Link) -> None:
-        now = self._heap.clock.now()
-        self._entries[link.peer] = _EntryLink(link, now)
-
-    def _on_offer(self, link: peers.Link, message: messages.JobOffer) -> None:
-        self._hear(link)
-        if self.holder is None:
-            link.send(self._news())
-            return
-        self.holder.offer(message.job, link.peer)
-
-    def _on_cancel(
-        self, link: peers.Link, message: messages.JobCancel
-    ) -> None:
-        self._hear(link)
-        if self.holder is None:
-            link.send(self._news())
-            return
-        is_known = self.holder.cancel(message.job)
-        link.send(messages.JobCancelled(message.number, is_known))
-
-    def _on_answer(self, entry: ids.InstanceId, answer: work.Answer) -> None:
-        known = self._entries.get(entry)
-        if known is not None:
-            known.link.send(messages.JobAnswer(*answer))
-
     def _on_document(self, version: int, data: bytes) -> None:
         _LOG.info("control: a document is in force", extra={"v": version})
-        for known in self._entries.values():
-            known.link.send(messages.DocumentPush(version, data))
+        # A replica that catches up applies many at once.
+        if not self._is_push_due:
+            self._is_push_due = True
+            self._heap.call_later(0.0, self._push_all)
+
+    def _push_all(self) -> None:
+        self._is_push_due = False
+        for known in self.holding.entries.values():
+            self._push(known.link)
 
     def _push(self, link: peers.Link) -> None:
         push = messages.DocumentPush(self.machine.version, self.machine.data)
@@ -269,32 +249,36 @@
 
     def _news(self) -> messages.ControlNews:
         holder_name = ids.InstanceId("")
-        counts: tuple[messages.QueueCount, ...] = ()
-        if self.holder is not None:
+        if self.holding.is_holding:
             holder_name = self._cfg.id
-            waiting = self.holder.engine.waiting_by_queue()
-            counts = tuple(
-                messages.QueueCount(*item) for item in waiting.items()
-            )
         return messages.ControlNews(
-            self._cfg.id,
-            holder_name,
-            self.member.term,
-            tuple(self._controls()),
-            counts,
+            control=self._cfg.id,
+            holder=holder_name,
+            term=self.member.term,
+            controls=tuple(self._controls()),
+            counts=self.holding.counts(),
+            entries=tuple(self.holding.entries),
+            has_quorum=self._has_quorum(),
         )
 
+    def _has_quorum(self) -> bool:
+        voters = self.member.config.voters
+        reached = sum(
+            voter.name == self._cfg.id
+            or self._node.links.is_linked(voter.name)
+            for voter in voters
+        )
+        return reached * 2 > len(voters)
+
     def _tell_entries(self) -> None:
-        news = self._news()
+        self._forget_reports()
+        self.holding.tell(self._news())
+
+    def _forget_reports(self) -> None:
         now = self._heap.clock.now()
-        for name, known in list(self._entries.items()):
-            silent_s = now - known.heard_at
-            if silent_s > ENTRY_FORGET_S:
-                del self._entries[name]
-            elif self.holder is not None:
-                if silent_s > ENTRY_SILENCE_S:
-                    self.holder.lose_entry(name)
-                known.link.send(news)
+        for name, (at, _) in list(self._reports.items()):
+            if now - at > REPORT_AGE_S:
+                del self._reports[name]
 
     def _may_order(self) -> bool:
         return self._heap.clock.now() < self.member.leads_until()
@@ -303,31 +287,27 @@
         """Begin or end holding, as leadership goes."""
         for name in self._controls():
             self._node.know(name)
-        if self.holder is None:
+        if not self.holding.is_holding:
             if self.member.is_leader and self._may_order():
                 self._begin_holding()
         elif not self.member.is_leader:
-            _LOG.info("control: holds no more")
-            self.holder.close()
-            self.holder = None
+            self.holding.end("leads no more")
 
     def _begin_holding(self) -> None:
-        now = self._heap.clock.now()
-        token = tokens.token(bump=0, term=self.member.term, side=0)
-        is_table_whole = now - self._started_at > 2 * self._cfg.heartbeat_s
-        decider = engine.Engine(token=token, now=now, knows_all=is_table_whole)
-        self.holder = holder.Holder(
-            heap=self._heap,
-            port=self._port,
-            decider=decider,
-            answered=self._on_answer,
+        live = [
+            (at, report)
+            for at, report in self._reports.values()
+            if not report.is_gone
+        ]
+        self.holding.begin(
+            fence=tokens.Fence(self.member.term, tokens.LEADER_SIDE),
+            knows_all_at=self._started_at + 2 * self._cfg.heartbeat_s,
+            reports=live,
             may_order=self._may_order,
         )
-        _LOG.info(
-            "control: holds the executors",
-            extra={"token": token, "executors": len(self._reports)},
-        )
-        for at, report in list(self._reports.values()):
-            if now - at < REPORT_AGE_S and not report.is_gone:
-                self.holder.report(report)
         self._tell_entries()
+
+
+def _facts(report: work.ExecutorReport) -> work.ExecutorReport:
+    """Leave out what changes with each report."""
+    return report._replace(clock_ms=0, sequence=0, remaining_ms=0)
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -10,20 +10,28 @@
 from chervilwheel import messages
 from chervilwheel import peers
 from chervilwheel.control import documents
+from chervilwheel.control import holding
 from chervilwheel.control import routing
 from chervilwheel.control import runtime
+from chervilwheel.control import standby
+from chervilwheel.control import tokens
+from chervilwheel.workers import ports
 from chervilwheel.workers import work
 
 _LOG = logging.getLogger("entry")
-BEAT_S = 0.25
-# The holder tells news each 0.25 s; this is three of them.
-HOLDER_SILENCE_S = 0.8
-# An election takes up to 1.3 s, taking over the executors 0.7 s more.
+BEAT_S = 0.15
+# Hosts that don't hold hear each fourth beat.
+SELDOM_BEATS = 4
+# The holder tells news each 0.15 s; this is three of them.
+HOLDER_SILENCE_S = 0.5
+# Two elections of up to 0.9 s each.
 LOST_S = 2.0
 # A job that was never offered is refused when no holder comes by then.
 UNOFFERED_S = 0.3
 RETRY_AFTER_MS = 1_000
 CANCEL_TIMEOUT_S = 1.0
+# More lives of executors than a zone sees in a day.
+MAX_REPORTS = 4_096
 
 Answered = typing.Callable[[work.Answer], None]
 Cancelled = typing.Callable[[bool | None], None]
@@ -36,15 +44,24 @@
     LEAVING = "leaving"
 
 
+class _HolderId(typing.NamedTuple):
+    """One time that a host holds the executors."""
+
+    host: ids.InstanceId
+    term: int
+    is_standby: bool
+
+
 class _Job:
     """A job that callers of this host wait for."""
 
     def __init__(self, *, job: work.Job, now: float) -> None:
         self.job = job
         self.since = now
-        self.offered_to: tuple[ids.InstanceId, int] | None = None
+        self.offered_to: _HolderId | None = None
         self.offers = 0
         self.is_told = False
+        self.was_standby = False
         self.waiting: dict[int, Answered] = {}
 
 
@@ -53,10 +70,15 @@
 
     :param node: the loop and its links
     :param decoder: reads operators' documents
+    :param port: carries orders to executors when this host holds them
     """
 
     def __init__(
-        self, *, node: runtime.Runtime, decoder: documents.Decoder
+        self,
+        *,
+        node: runtime.Runtime,
+        decoder: documents.Decoder,
+        port: ports.ExecutorPort,
     ) -> None:
         self._node = node
         self._heap = node.heap
@@ -64,17 +86,35 @@
         self.routes: routing.RouteTable | None = None
         self.drain = Drain.SERVING
         self._controls: set[ids.InstanceId] = set()
-        self._holder: tuple[ids.InstanceId, int] | None = None
+        self._me = node.cfg.id
+        self._entries: set[ids.InstanceId] = set()
+        self._reports: dict[
+            work.ExecutorId, tuple[float, work.ExecutorReport]
+        ] = {}
+        self._term = 0
+        self._standby = standby.Standby(me=self._me)
+        self._holding = holding.Holding(
+            me=self._me,
+            heap=node.heap,
+            links=node.links,
+            port=port,
+            refuse=lambda link: link.send(self._news()),
+            answered=lambda answer: self._take_answer(answer, self._me),
+        )
+        self._holder: _HolderId | None = None
         self._holder_heard_at = 0.0
         self._holder_lost_at = self._heap.clock.now()
         self._counts: dict[str, int] = {}
         self._jobs: dict[ids.JobId, _Job] = {}
         self._numbers = itertools.count(1)
+        self._beats = 0
         self._cancels: dict[int, Cancelled] = {}
         for address in node.cfg.seeds:
             self._controls.add(node.know(address.host))
         links = node.links
         links.handle(messages.ControlNews, self._on_news)
+        links.handle(messages.EntryBeat, self._on_entry_beat)
+        links.handle(messages.ExecutorNews, self._on_executor_news)
         links.handle(messages.DocumentPush, self._on_document)
         links.handle(messages.JobAnswer, self._on_answer)
         links.handle(messages.JobCancelled, self._on_cancelled)
@@ -117,8 +157,7 @@
             return
         del self._jobs[job]
         if state.offered_to is not None and self._holder is not None:
-            cancel = messages.JobCancel(0, job)
-            self._node.links.send(self._holder[0], cancel)
+            self._send_cancel(self._holder, 0, job)
 
     def cancel(self, job: ids.JobId, done: Cancelled) -> None:
         """Stop a job on a caller's wish.
@@ -130,45 +169,146 @@
             return
         number = next(self._numbers)
         self._cancels[number] = done
-        cancel = messages.JobCancel(number, job)
-        self._node.links.send(self._holder[0], cancel)
         self._heap.call_later(
             CANCEL_TIMEOUT_S, lambda: self._cancel_done(number, None)
         )
+        self._send_cancel(self._holder, number, job)
 
     def waiting(self, queue: str) -> int:
         """Count the jobs of a queue that wait for their first task."""
         return self._counts.get(queue, 0)
 
+    def _send_cancel(
+        self, holder: _HolderId, number: int, job: ids.JobId
+    ) -> None:
+        if holder.host == self._me:
+            self._cancel_done(number, self._holding.cancel(job))
+            return
+        cancel = messages.JobCancel(number, job)
+        self._node.links.send(holder.host, cancel)
+
     def _beat(self) -> None:
+        now = self._heap.clock.now()
         version = self.routes.document.version if self.routes else 0
-        beat = messages.EntryBeat(self._node.cfg.id, version)
-        for name in self._controls:
+        beat = messages.EntryBeat(self._me, version)
+        receivers: set[ids.InstanceId] = set()
+        self._beats += 1
+        if self._holder is not None and not self._holder.is_standby:
+            receivers.add(self._holder.host)
+        else:
+            receivers |= self._entries
+        if self._holder is None or self._beats % SELDOM_BEATS == 0:
+            receivers |= self._controls
+        receivers.discard(self._me)
+        for name in receivers:
             self._node.links.send(name, beat)
-        now = self._heap.clock.now()
         is_silent = now - self._holder_heard_at > HOLDER_SILENCE_S
-        if self._holder is not None and is_silent:
+        if self._holding.is_holding:
+            self._holding.tell(self._news())
+        elif self._holder is not None and is_silent:
             self._lose_holder("silent")
+        if self._holder is None:
+            self._maybe_hold(now)
         self._give_up(now)
 
+    def _on_entry_beat(
+        self, link: peers.Link, _beat: messages.EntryBeat
+    ) -> None:
+        self._holding.hear(link)
+        self._entries.add(link.peer)
+        self._standby.hear(link.peer, self._heap.clock.now())
+        if self._holding.is_holding:
+            link.send(self._news())
+
+    def _on_executor_news(
+        self, _link: peers.Link, news: messages.ExecutorNews
+    ) -> None:
+        now = self._heap.clock.now()
+        for report in news.reports:
+            known = self._reports.get(report.id)
+            if known is not None and known[1].sequence > report.sequence:
+                continue
+            self._reports[report.id] = (now, report)
+            self._holding.report(report)
+        while len(self._reports) > MAX_REPORTS:
+            del self._reports[next(iter(self._reports))]
+
+    def _news(self) -> messages.ControlNews:
+        is_holding = self._holding.is_holding
+        return messages.ControlNews(
+            control=self._me,
+            holder=self._me if is_holding else ids.InstanceId(""),
+            term=self._term,
+            controls=(),
+            counts=self._holding.counts(),
+            is_standby=True,
+        )
+
+    def _maybe_hold(self, now: float) -> None:
+        """Hold the executors when no leader can."""
+        is_able = self.is_ready and self._reports
+        lost_at = self._holder_lost_at
+        if not is_able or not self._standby.should_hold(
+            lost_at=lost_at, now=now
+        ):
+            return
+        self._holding.begin(
+            fence=tokens.Fence(self._term, tokens.side_of(self._me)),
+            knows_all_at=now,
+            # They arrive on change only, so each may be alive still.
+            reports=[
+                (now, report)
+                for _, report in self._reports.values()
+                if not report.is_gone
+            ],
+            may_order=lambda: True,
+        )
+        self._take_holder(_HolderId(self._me, self._term, True))
+
     def _on_news(self, link: peers.Link, news: messages.ControlNews) -> None:
+        now = self._heap.clock.now()
         for host in news.controls:
             self._controls.add(self._node.know(host))
+        for host in news.entries:
+            if host != self._me:
+                self._entries.add(self._node.know(host))
+        if news.has_quorum:
+            self._standby.hear_quorum(now)
+        self._term = max(self._term, news.term)
         if not news.holder:
-            if self._holder and self._holder[0] == news.control:
+            if self._holder and self._holder.host == news.control:
                 self._lose_holder("resigned")
             return
-        now = self._heap.clock.now()
-        held_by = (news.holder, news.term)
-        if self._holder is not None and news.term < self._holder[1]:
+        held_by = _HolderId(news.holder, news.term, news.is_standby)
+        if not self._prefers(held_by):
             return
         self._holder_heard_at = now
         self._counts = {each.queue: each.waiting for each in news.counts}
+        self._take_holder(held_by)
+
+    def _prefers(self, other: _HolderId) -> bool:
+        """Whether to go over to a holder: leaders first, newest first."""
+        mine = self._holder
+        if mine is None or mine == other:
+            return True
+        if mine.is_standby != other.is_standby:
+            return mine.is_standby
+        if mine.is_standby:
+            return other.host <= mine.host
+        return other.term >= mine.term
+
+    def _take_holder(self, held_by: _HolderId) -> None:
         if held_by != self._holder:
             _LOG.info(
                 "entry: a holder is known",
-                extra={"holder": news.holder, "term": news.term},
+                extra={
+                    "holder": held_by.host,
+                    "term": held_by.term,
+                    "standby": held_by.is_standby,
+                },
             )
+            if held_by.host != self._me:
+                self._holding.end("another holds")
             self._holder = held_by
         for state in list(self._jobs.values()):
             if state.offered_to != held_by or not state.is_told:
@@ -177,15 +317,25 @@
     def _offer(self, state: _Job) -> None:
         if self._holder is None:
             return
-        if state.offered_to not in (None, self._holder):
+        former = state.offered_to
+        if former not in (None, self._holder):
             state.offers += 1
+            state.was_standby |= former is not None and former.is_standby
+            if former is not None and former.host != self._me:
+                cancel = messages.JobCancel(0, state.job.id)
+                self._node.links.send(former.host, cancel)
         state.offered_to = self._holder
         state.is_told = True
-        job = state.job._replace(offers=state.offers)
-        self._node.links.send(self._holder[0], messages.JobOffer(job))
+        job = state.job._replace(
+            offers=state.offers, is_from_standby=state.was_standby
+        )
+        if self._holder.host == self._me:
+            self._holding.offer(job)
+        else:
+            self._node.links.send(self._holder.host, messages.JobOffer(job))
 
     def _on_lost(self, peer: ids.InstanceId) -> None:
-        if self._holder is not None and self._holder[0] == peer:
+        if self._holder is not None and self._holder.host == peer:
             self._lose_holder("link")
 
     def _lose_holder(self, why: str) -> None:
@@ -195,8 +345,7 @@
         )
         self._holder = None
         self._counts = {}
-        now = self._heap.clock.now()
-        self._holder_lost_at = now
+        self._holder_lost_at = self._heap.clock.now()
         for state in self._jobs.values():
             state.is_told = False
 
@@ -221,10 +370,20 @@
                     )
                 )
 
-    def _on_answer(
-        self, _link: peers.Link, answer: messages.JobAnswer
+    def _on_answer(self, link: peers.Link, answer: messages.JobAnswer) -> None:
+        self._take_answer(work.Answer(*answer), link.peer)
+
+    def _take_answer(
+        self, answer: work.Answer, sender: ids.InstanceId
     ) -> None:
-        self._end(work.Answer(*answer))
+        """Take an answer in; a former holder's counts if it is complete."""
+        state = self._jobs.get(answer.job)
+        if state is None:
+            return
+        holder = state.offered_to
+        is_current = holder is not None and holder.host == sender
+        if is_current or answer.outcome is work.Outcome.COMPLETED:
+            self._end(answer)
 
     def _end(self, answer: work.Answer) -> None:
         state = self._jobs.pop(answer.job, None)
--- a/chervilwheel/control/holder.py
+++ b/chervilwheel/control/holder.py
@@ -5,6 +5,7 @@
 
 from chervilwheel import ids
 from chervilwheel import timers
+from chervilwheel.control import tokens
 from chervilwheel.workers import engine
 from chervilwheel.workers import ports
 from chervilwheel.workers import work
@@ -22,6 +23,7 @@
     :param heap: timers
     :param port: carries orders to executors
     :param decider: the engine
+    :param fence: what sets this holder's tokens apart
     :param answered: told the entry host and the final word on its job
     :param may_order: whether orders may leave now
     """
@@ -32,6 +34,7 @@
         heap: timers.TimerHeap,
         port: ports.ExecutorPort,
         decider: engine.Engine,
+        fence: tokens.Fence,
         answered: Answered,
         may_order: typing.Callable[[], bool],
     ) -> None:
@@ -40,6 +43,8 @@
         self._port = port
         self._answered = answered
         self._may_order = may_order
+        self._fence = fence
+        self._bump = 0
         self._is_closed = False
         self._heap.call_later(TICK_S, self._tick)
 
@@ -47,9 +52,11 @@
         """Give no more orders; what runs lapses or is taken over."""
         self._is_closed = True
 
-    def report(self, report: work.ExecutorReport) -> None:
-        """Take in what an executor says of itself."""
-        self.engine.report(report, self._now())
+    def report(
+        self, report: work.ExecutorReport, *, age_s: float = 0.0
+    ) -> None:
+        """Take in what an executor said of itself some time ago."""
+        self.engine.report(report, self._now(), age_s=age_s)
         self.pump()
 
     def offer(self, job: work.Job, entry: ids.InstanceId) -> None:
@@ -103,6 +110,8 @@
         def done(verdict: work.StartVerdict, clock_ms: int) -> None:
             if self._is_closed:
                 return
+            if verdict is work.StartVerdict.FENCED:
+                self._raise_token(order.token)
             self.engine.started(order, verdict, clock_ms, self._now())
             self.pump()
 
@@ -117,6 +126,8 @@
         def done(answer: work.HoldAnswer) -> None:
             if self._is_closed:
                 return
+            if answer.verdict is work.HoldVerdict.FENCED:
+                self._raise_token(order.token)
             self.engine.held(order, answer, sent_at, self._now())
             self.pump()
 
@@ -130,5 +141,18 @@
         if self._may_order():
             self._port.stop(order, lambda _clock_ms: None)
 
+    def _raise_token(self, refused: int) -> None:
+        """Go beyond the token of a holder that had no quorum.
+
+        Only the leader does so, while it is sure to lead.
+        """
+        is_leader = self._fence.side == tokens.LEADER_SIDE
+        if not is_leader or not self._may_order():
+            return
+        if refused == self.engine.token and self._bump < tokens.MAX_BUMP:
+            self._bump += 1
+            self.engine.raise_token(self._fence.token(self._bump))
+            _LOG.info("holder: token raised", extra={"bump": self._bump})
+
     def _later(self, callback: typing.Callable[[], None]) -> None:
         self._heap.call_later(TICK_S, callback)
--- /dev/null
+++ b/chervilwheel/control/holding.py
@@ -0,0 +1,179 @@
+"""Serve entry hosts while this host holds the executors."""
+
+import logging
+import typing
+
+from chervilwheel import ids
+from chervilwheel import messages
+from chervilwheel import peers
+from chervilwheel import timers
+from chervilwheel.control import holder
+from chervilwheel.control import tokens
+from chervilwheel.workers import engine
+from chervilwheel.workers import ports
+from chervilwheel.workers import work
+
+_LOG = logging.getLogger("holding")
+# An entry host is lost after this time without a beat: four of them.
+ENTRY_SILENCE_S = 0.6
+ENTRY_FORGET_S = 10.0
+
+Answered = typing.Callable[[work.Answer], None]
+
+
+class EntryLink(typing.NamedTuple):
+    """The link to an entry host, and when it spoke last."""
+
+    link: peers.Link
+    heard_at: float
+
+
+class Holding:
+    """Begin and end holding, and hand jobs and answers through.
+
+    :param me: this host
+    :param heap: timers
+    :param links: links to the other hosts
+    :param port: carries orders to executors
+    :param refuse: tells an entry host that this host doesn't hold
+    :param answered: takes answers to jobs of this host itself
+    """
+
+    def __init__(
+        self,
+        *,
+        me: ids.InstanceId,
+        heap: timers.TimerHeap,
+        links: peers.Peers,
+        port: ports.ExecutorPort,
+        refuse: typing.Callable[[peers.Link], None],
+        answered: Answered,
+    ) -> None:
+        self._me = me
+        self._heap = heap
+        self._port = port
+        self._refuse = refuse
+        self._answered = answered
+        self._holder: holder.Holder | None = None
+        self.entries: dict[ids.InstanceId, EntryLink] = {}
+        links.handle(messages.JobOffer, self._on_offer)
+        links.handle(messages.JobCancel, self._on_cancel)
+
+    @property
+    def is_holding(self) -> bool:
+        """Whether this host holds the executors."""
+        return self._holder is not None
+
+    def begin(
+        self,
+        *,
+        fence: tokens.Fence,
+        knows_all_at: float,
+        reports: typing.Iterable[tuple[float, work.ExecutorReport]],
+        may_order: typing.Callable[[], bool],
+    ) -> None:
+        """Take over the executors that have reported.
+
+        :param reports: each with its time of arrival, seconds
+        """
+        now = self._heap.clock.now()
+        decider = engine.Engine(
+            token=fence.token(0), knows_all_at=knows_all_at, now=now
+        )
+        self._holder = holder.Holder(
+            heap=self._heap,
+            port=self._port,
+            decider=decider,
+            fence=fence,
+            answered=self._on_answer,
+            may_order=may_order,
+        )
+        known = list(reports)
+        _LOG.info(
+            "holding: begun",
+            extra={
+                "term": fence.term,
+                "side": fence.side,
+                "executors": len(known),
+            },
+        )
+        for at, report in known:
+            self._holder.report(report, age_s=now - at)
+
+    def end(self, why: str) -> None:
+        """Give no more orders; what runs lapses or is taken over."""
+        if self._holder is not None:
+            _LOG.info("holding: ended", extra={"why": why})
+            self._holder.close()
+            self._holder = None
+
+    def report(self, report: work.ExecutorReport) -> None:
+        """Take in what an executor says of itself."""
+        if self._holder is not None:
+            self._holder.report(report)
+
+    def offer(self, job: work.Job) -> None:
+        """Take in a job of this host itself."""
+        if self._holder is not None:
+            self._holder.offer(job, self._me)
+
+    def cancel(self, job: ids.JobId) -> bool:
+        """Stop a job of this host itself."""
+        return self._holder is not None and self._holder.cancel(job)
+
+    def hear(self, link: peers.Link) -> None:
+        """Take note that an entry host is there."""
+        now = self._heap.clock.now()
+        self.entries[link.peer] = EntryLink(link, now)
+
+    def counts(self) -> tuple[messages.QueueCount, ...]:
+        """Count the waiting jobs of each queue."""
+        if self._holder is None:
+            return ()
+        waiting = self._holder.engine.waiting_by_queue()
+        return tuple(messages.QueueCount(*item) for item in waiting.items())
+
+    def tell(self, news: messages.ControlNews) -> None:
+        """Send news to the entry hosts, and drop those that are silent."""
+        now = self._heap.clock.now()
+        for name, known in list(self.entries.items()):
+            silent_s = now - known.heard_at
+            if silent_s > ENTRY_FORGET_S:
+                del self.entries[name]
+                continue
+            if self._holder is not None and silent_s > ENTRY_SILENCE_S:
+                self._holder.lose_entry(name)
+            known.link.send(news)
+
+    def tell_reports(
+        self, reports: typing.Sequence[work.ExecutorReport]
+    ) -> None:
+        """Pass on to entry hosts what executors said."""
+        news = messages.ExecutorNews(tuple(reports))
+        for known in self.entries.values():
+            known.link.send(news)
+
+    def _on_offer(self, link: peers.Link, message: messages.JobOffer) -> None:
+        self.hear(link)
+        if self._holder is None:
+            self._refuse(link)
+        else:
+            self._holder.offer(message.job, link.peer)
+
+    def _on_cancel(
+        self, link: peers.Link, message: messages.JobCancel
+    ) -> None:
+        self.hear(link)
+        if self._holder is None:
+            self._refuse(link)
+            return
+        is_known = self._holder.cancel(message.job)
+        link.send(messages.JobCancelled(message.number, is_known))
+
+    def _on_answer(self, entry: ids.InstanceId, answer: work.Answer) -> None:
+        if entry == self._me:
+            self._answered(answer)
+            return
+        known = self.entries.get(entry)
+        if known is not None:
+            known.link.send(messages.JobAnswer(*answer))
--- a/chervilwheel/control/tokens.py
+++ b/chervilwheel/control/tokens.py
@@ -1,15 +1,35 @@
 """Fencing tokens: no two holders ever give orders under the same one."""
 
+import ipaddress
+import typing
+
+BUMP_BITS = 8
 TERM_BITS = 21
 SIDE_BITS = 24
+MAX_BUMP = 2**BUMP_BITS - 1
+LEADER_SIDE = 0
 
 
-def token(*, bump: int, term: int, side: int) -> int:
-    """Compose a token, at most 53 bits so that JSON numbers hold it.
+class Fence(typing.NamedTuple):
+    """What sets the tokens of one holder apart.
 
-    :param bump: raised when an executor has seen a higher token
-    :param term: the leader's term, or the last one known
-    :param side: 0 for the leader, else the number of a host that holds
+    :ivar term: the leader's term, or the last one known
+    :ivar side: 0 for the leader, else the number of a host that holds
         without a quorum
     """
-    return (((bump << TERM_BITS) | term) << SIDE_BITS) | side
+
+    term: int
+    side: int
+
+    def token(self, bump: int) -> int:
+        """Compose a token, at most 53 bits so that JSON numbers hold it.
+
+        :param bump: raised when an executor has seen a higher token
+        """
+        low = (self.term % 2**TERM_BITS << SIDE_BITS) | self.side
+        return (bump << (TERM_BITS + SIDE_BITS)) | low
+
+
+def side_of(host: str) -> int:
+    """Number a host by the lower part of its IP address, never 0."""
+    return int(ipaddress.IPv4Address(host)) % 2**SIDE_BITS or 1
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -330,9 +330,9 @@
 
 
 class ExecutorNews(typing.NamedTuple):
-    """A control host passes on what an executor told it."""
+    """A control host passes on what executors told it."""
 
-    report: work.ExecutorReport
+    reports: tuple[work.ExecutorReport, ...]
 
 
 class EntryBeat(typing.NamedTuple):
@@ -350,10 +350,13 @@
 
 
 class ControlNews(typing.NamedTuple):
-    """Who holds the executors, as a control host believes.
+    """Whether the sender holds the executors, and whom it knows.
 
-    :ivar holder: the holder, empty when none is known
+    :ivar holder: the sender if it holds, else empty
     :ivar controls: all hosts that serve control
+    :ivar entries: the entry hosts that it hears
+    :ivar is_standby: whether it holds without a quorum
+    :ivar has_quorum: whether it reaches enough voters for an election
     """
 
     control: ids.InstanceId
@@ -361,6 +364,9 @@
     term: int
     controls: tuple[str, ...]
     counts: tuple[QueueCount, ...]
+    entries: tuple[str, ...] = ()
+    is_standby: bool = False
+    has_quorum: bool = False
 
 
 class DocumentPush(typing.NamedTuple):
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -280,6 +280,7 @@
   spec @8 :Text;
   steps @9 :List(Step);
   offers @10 :UInt32;
+  isFromStandby @11 :Bool;
 }
 
 struct ExecutorReport {
@@ -308,7 +309,7 @@
 struct JobCancel { number @0 :UInt64; job @1 :Text; }
 struct JobCancelled { number @0 :UInt64; isKnown @1 :Bool; }
 
-struct ExecutorNews { report @0 :ExecutorReport; }
+struct ExecutorNews { reports @0 :List(ExecutorReport); }
 
 struct EntryBeat {
   entry @0 :Text;
@@ -323,6 +324,9 @@
   term @2 :UInt64;
   controls @3 :List(Text);
   counts @4 :List(QueueCount);
+  entries @5 :List(Text);
+  isStandby @6 :Bool;
+  hasQuorum @7 :Bool;
 }
 
 struct DocumentPush { version @0 :UInt64; data @1 :Data; }
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -29,10 +29,19 @@
 # A run whose share of work doesn't move for this time stands still.
 STILL_S = 0.4
 STOP_RETRY_S = 0.15
+# A job that another holder may have begun waits for a renewal at every
+# executor, or for this time: that holder misses the entry host's beats
+# (0.6 s), and its leases end (0.7 s).
+SETTLE_S = 1.4
+# A run that nobody asked for is stopped after this time, within which
+# entry hosts offer their jobs anew.
+ORPHAN_S = 1.0
 # Full answers are remembered for callers that ask again.
 REMEMBER_S = 10.0
 # Three heartbeats without a word.
-FORGET_S = 5.0
+SILENT_S = 5.0
+# As long a holder without a quorum may hold what is not heard here.
+FORGET_S = 60.0
 NO_ROOM_PAUSE_S = 0.05
 UNHEALTHY_PAUSE_S = 0.5
 FENCED_PAUSE_S = 1.0
@@ -42,23 +51,24 @@
     """Hold executors and run jobs on them.
 
     :param token: the fencing token of this holder
+    :param knows_all_at: from when on the reports handed in cover all
+        executors that another holder may have used, seconds
     :param now: monotonic time, seconds
-    :param knows_all: whether the reports handed in cover all executors
-        that a former holder may have used
     """
 
-    def __init__(self, *, token: int, now: float, knows_all: bool) -> None:
+    def __init__(self, *, token: int, knows_all_at: float, now: float) -> None:
         self.token = token
+        # The leases that a former leader gave end by then.
+        self._leases_end_at = now + LEASE_S * 1.02 + executors.LEASE_MARGIN_S
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self.jobs: dict[ids.JobId, jobstate.JobState] = {}
         self._health: dict[work.ExecutorId, health.Health] = {}
         self._waiting: list[jobstate.JobState] = []
         self._over: list[jobstate.JobState] = []
         self._actions: list[work.Action] = []
-        self._settles_at = now + LEASE_S * 1.02 + executors.LEASE_MARGIN_S
-        self._knows_all = knows_all
-        self._is_settled = False
-        self._found_done: set[work.TaskId] = set()
+        self._knows_all_at = knows_all_at
+        self._found_done: dict[work.TaskId, float] = {}
+        self._look_after = 0.0
         self.starts = 0
         self.refusals = 0
 
@@ -67,13 +77,18 @@
         actions, self._actions = self._actions, []
         return actions
 
-    def report(self, report: work.ExecutorReport, now: float) -> None:
-        """Take in what an executor says of itself."""
+    def report(
+        self, report: work.ExecutorReport, now: float, *, age_s: float = 0.0
+    ) -> None:
+        """Take in what an executor says of itself.
+
+        :param age_s: time since it arrived at a control host, seconds
+        """
         known = self.executors.get(report.id)
         if known is None:
             if report.is_gone:
                 return
-            known = executors.Executor(report=report, heard_at=now)
+            known = executors.Executor(report=report, heard_at=now - age_s)
             self.executors[report.id] = known
             self._health[report.id] = health.Health()
         elif report.is_gone:
@@ -84,7 +99,7 @@
         if report.is_draining and not known.report.is_draining:
             known.draining_since = now
         known.report = report
-        known.heard_at = now
+        known.heard_at = max(known.heard_at, now - age_s)
         known.learn_clock(report.clock_ms, now)
         self._tend(known, now)
 
@@ -108,11 +123,11 @@
             if known in self._over:
                 self._over.remove(known)
         state = jobstate.JobState(job=job, entry=entry, now=now)
-        state.is_settling = job.offers > 0 and not self._is_settled
         self.jobs[job.id] = state
-        if state.is_settling:
-            self._adopt(state)
         self._waiting.append(state)
+        if state.is_settling:
+            self._adopt(state, now)
+            self._settle(now)
         self._place(now)
 
     def cancel(self, job: ids.JobId, now: float) -> bool:
@@ -208,7 +223,8 @@
         known = self.executors.get(order.executor)
         if known is None:
             return
-        known.is_holding = False
+        if not order.is_look:
+            known.is_holding = False
         if answer.verdict is work.HoldVerdict.OTHER_LIFE:
             self._lose(known, now)
             return
@@ -218,10 +234,11 @@
         known.silent_since = 0.0
         known.learn_clock(answer.clock_ms, now)
         known.told_upto = max(known.told_upto, order.noted_upto)
-        if not known.is_synced:
-            self._sync(known, answer, now)
-        else:
-            self._compare(known, answer, sent_at, now)
+        if order.token == self.token:
+            known.is_synced = True
+            known.answered_at = max(known.answered_at, sent_at)
+        self._compare(known, answer, sent_at, now)
+        self._settle(now)
         self._place(now)
         self._tend(known, now)
 
@@ -238,53 +255,11 @@
                 extra={"executor": known.id, "runs": len(known.runs)},
             )
         pause_s = HOLD_RETRY_S
+        known.is_synced = False
         if answer.verdict is work.HoldVerdict.FENCED:
-            known.is_synced = False
             pause_s = FENCED_PAUSE_S
         known.unusable_until = max(known.unusable_until, now + pause_s)
 
-    def _sync(
-        self,
-        known: executors.Executor,
-        answer: work.HoldAnswer,
-        now: float,
-    ) -> None:
-        """Take over what an executor runs on a former holder's order."""
-        known.is_synced = True
-        for end in answer.ended:
-            if end.kind is work.EndKind.DONE:
-                self._found_done.add(end.task)
-                state = self.jobs.get(end.task.job)
-                if state is not None and state.is_settling:
-                    self._task_done(state, end.task, now)
-            known.noted_upto = max(known.noted_upto, end.number)
-        for row in answer.running:
-            if row.task in known.runs:
-                continue
-            state = self.jobs.get(row.task.job)
-            run = executors.Run(
-                task=row.task,
-                number=row.run,
-                room=known.report.room,
-                state=executors.RunState.RUNNING,
-                ordered_at=now,
-                expected_s=0.0,
-                confirmed_at=now,
-                percent=row.percent,
-                percent_at=now,
-            )
-            known.add(run)
-            if state is not None and state.is_settling:
-                self._adopt_run(state, known, run)
-            elif self._is_settled:
-                self._stop(known, run, now)
-        listed = {row.task for row in answer.running}
-        for run in list(known.runs.values()):
-            is_old = run.confirmed_at and run.confirmed_at < now - LEASE_S
-            if run.task not in listed and is_old:
-                known.drop(run.task)
-                self._again(run, now)
-
     def _compare(
         self,
         known: executors.Executor,
@@ -298,6 +273,9 @@
             known.noted_upto = end.number
             self._ended(known, end, now)
         rows = {row.task: row for row in answer.running}
+        for row in answer.running:
+            if row.task not in known.runs:
+                self._found(known, row, now)
         for run in list(known.runs.values()):
             row = rows.get(run.task)
             if row is not None and row.run == run.number:
@@ -311,6 +289,28 @@
                 known.drop(run.task)
                 self._again(run, now)
 
+    def _found(
+        self, known: executors.Executor, row: work.RunRow, now: float
+    ) -> None:
+        """Take note of a run that another holder has ordered."""
+        run = executors.Run(
+            task=row.task,
+            number=row.run,
+            # What it takes isn't known; nothing else starts beside it.
+            room=known.report.room,
+            state=executors.RunState.RUNNING,
+            ordered_at=now,
+            expected_s=0.0,
+            confirmed_at=now,
+            percent=row.percent,
+            percent_at=now,
+            is_orphan=True,
+        )
+        known.add(run)
+        state = self.jobs.get(row.task.job)
+        if state is not None and state.is_settling:
+            self._adopt_run(state, known, run)
+
     def _seen(
         self,
         known: executors.Executor,
@@ -350,35 +350,40 @@
     ) -> None:
         run = known.runs.get(end.task)
         if run is None or run.number != end.run:
+            self._found_end(end, now)
             return
         known.drop(end.task)
-        judge = self._health[known.id]
-        if end.kind is work.EndKind.DONE:
-            judge.succeeded()
-        elif end.kind is work.EndKind.FAILED:
-            self._blame(known, now)
-        state = self.jobs.get(end.task.job)
-        if state is None:
-            return
-        state.unsettled -= 1
-        if state.is_over:
+        if run.is_orphan:
+            self._found_end(end, now)
             return
+        state = self.jobs.get(end.task.job)
         if end.kind is work.EndKind.DONE:
-            self._task_done(state, end.task, now)
+            self._health[known.id].succeeded()
+            if state is not None:
+                state.unsettled -= 1
+                self._task_done(state, end.task, now)
             return
-        task = state.find(end.task)
-        if task is None:
+        if end.kind is work.EndKind.FAILED:
+            self._blame(known, now)
+        self._again(run, now)
+        task = state.find(end.task) if state is not None else None
+        if state is None or state.is_over or task is None:
             return
-        task.executor = None
-        task.next_run = run.number + 1
         if end.kind is work.EndKind.FAILED:
             task.failures += 1
             if task.failures >= state.job.attempts:
                 self._finish(
                     state, work.Outcome.FAILED, now, reason="attempts"
                 )
-                return
-        state.pending.insert(0, task)
+
+    def _found_end(self, end: work.RunEnd, now: float) -> None:
+        """Take note of the end of a run that another holder ordered."""
+        if end.kind is not work.EndKind.DONE:
+            return
+        self._found_done[end.task] = now
+        state = self.jobs.get(end.task.job)
+        if state is not None and state.is_settling:
+            self._task_done(state, end.task, now)
 
     def _blame(
         self, known: executors.Executor, now: float, *, weight: int = 1
@@ -409,7 +414,7 @@
     def _again(self, run: executors.Run, now: float) -> None:
         """Make the task of a run that is no more pending again."""
         state = self.jobs.get(run.task.job)
-        if state is None:
+        if state is None or run.is_orphan:
             return
         state.unsettled -= 1
         task = state.find(run.task)
@@ -435,13 +440,13 @@
             )
         )
 
-    def _adopt(self, state: jobstate.JobState) -> None:
+    def _adopt(self, state: jobstate.JobState, now: float) -> None:
         for known in self.executors.values():
             for run in list(known.runs.values()):
-                if run.task.job == state.job.id:
+                if run.task.job == state.job.id and run.is_orphan:
                     self._adopt_run(state, known, run)
         for task in [t for t in self._found_done if t.job == state.job.id]:
-            self._task_done(state, task, state.arrived_at)
+            self._task_done(state, task, now)
 
     def _adopt_run(
         self,
@@ -453,6 +458,7 @@
         if task is None or task.executor is not None or task.is_done:
             return
         known.drop(run.task)
+        run.is_orphan = False
         run.room = state.job.steps[run.task.step].room
         known.add(run)
         state.unsettled += 1
@@ -568,28 +574,39 @@
 
     def tick(self, now: float) -> None:
         """Do what is due."""
-        self._settle_if_due(now)
+        self._settle(now)
         for known in list(self.executors.values()):
+            self._stop_orphans(known, now)
             self._tend(known, now)
         self._refuse_late(now)
         self._place(now)
         self._forget(now)
 
-    def _settle_if_due(self, now: float) -> None:
-        if self._is_settled:
+    def _settle(self, now: float) -> None:
+        """Let jobs start whose former runs are all known or at an end."""
+        settling = [s for s in self._waiting if s.is_settling]
+        self._look_after = max((s.arrived_at for s in settling), default=0.0)
+        if not settling:
             return
-        all_synced = all(e.is_synced for e in self.executors.values())
-        is_early = self._knows_all and self.executors and all_synced
-        if not is_early and now < self._settles_at:
-            return
-        self._is_settled = True
-        self._found_done.clear()
-        for state in self.jobs.values():
-            state.is_settling = False
-        for known in self.executors.values():
-            for run in list(known.runs.values()):
-                if run.task.job not in self.jobs:
-                    self._stop(known, run, now)
+        known = self.executors.values()
+        live = [e for e in known if now - e.heard_at < SILENT_S]
+        all_since = min((e.answered_at for e in known), default=0.0)
+        live_since = min((e.answered_at for e in live), default=0.0)
+        knows_all = now >= self._knows_all_at
+        for state in settling:
+            if state.job.is_from_standby:
+                since, ends_at = all_since, state.arrived_at + SETTLE_S
+            else:
+                since, ends_at = live_since, self._leases_end_at
+            is_seen = knows_all and since > state.arrived_at
+            if is_seen or now >= ends_at:
+                state.is_settling = False
+
+    def _stop_orphans(self, known: executors.Executor, now: float) -> None:
+        for run in list(known.runs.values()):
+            is_due = run.is_orphan and now - run.ordered_at >= ORPHAN_S
+            if is_due and run.state is not executors.RunState.STOPPING:
+                self._stop(known, run, now)
 
     def _tend(self, known: executors.Executor, now: float) -> None:
         """Renew a lease when it is due, and drop what has lapsed."""
@@ -599,18 +616,25 @@
             self._lose(known, now)
             return
         if known.is_holding:
+            if self._needs_look(known) and not known.silent_since:
+                self._look(known, now)
             return
         waited_s = now - known.hold_sent_at
         if known.silent_since or not known.is_synced:
-            is_due = waited_s >= HOLD_RETRY_S and bool(known.clock_at)
+            is_live = bool(known.runs) or now - known.heard_at < SILENT_S
+            is_due = is_live and waited_s >= HOLD_RETRY_S
         elif known.runs:
             is_due = True
         else:
             is_unsaid = known.noted_upto > known.told_upto
             is_due = is_unsaid and waited_s >= NOTE_DELAY_S
-        if is_due:
+        if is_due or self._needs_look(known):
             self._hold(known, now)
 
+    def _needs_look(self, known: executors.Executor) -> bool:
+        """Whether a job that settles waits for this executor."""
+        return known.hold_sent_at <= self._look_after
+
     def _drop_lapsed(self, known: executors.Executor, now: float) -> None:
         """Drop the runs of a silent executor whose leases have ended."""
         for run in list(known.runs.values()):
@@ -643,6 +667,27 @@
             )
         )
 
+    def _look(self, known: executors.Executor, now: float) -> None:
+        """Read the lists at once, beside a renewal that waits for ends."""
+        known.hold_sent_at = now
+        self._actions.append(
+            work.HoldOrder(
+                known.id,
+                known.report.address,
+                0,
+                self.token,
+                known.noted_upto,
+                0,
+                is_look=True,
+            )
+        )
+
+    def raise_token(self, token: int) -> None:
+        """Give orders under a higher token from now on."""
+        self.token = token
+        for known in self.executors.values():
+            known.is_synced = False
+
     def _refuse_late(self, now: float) -> None:
         for state in list(self._waiting):
             if state.is_started or state.is_over or state.job.offers:
@@ -659,6 +704,9 @@
                 )
 
     def _forget(self, now: float) -> None:
+        for task, at in list(self._found_done.items()):
+            if now - at > REMEMBER_S:
+                del self._found_done[task]
         kept = []
         for state in self._over:
             is_old = now - state.ended_at > REMEMBER_S
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -23,7 +23,10 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Run:
-    """One run of one task on an executor, from its order to its end."""
+    """One run of one task on an executor, from its order to its end.
+
+    An orphan is a run that another holder ordered.
+    """
 
     task: work.TaskId
     number: int
@@ -36,6 +39,7 @@
     percent_at: float = 0.0
     order_deadline_ms: int = 0
     stop_sent_at: float = 0.0
+    is_orphan: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -51,6 +55,7 @@
     is_synced: bool = False
     is_holding: bool = False
     hold_sent_at: float = 0.0
+    answered_at: float = 0.0
     lease_deadline_ms: int = 0
     clock_ms: int = 0
     clock_at: float = 0.0
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -71,6 +71,7 @@
     :ivar patience_ms: time that the caller still waits
     :ivar spec: what the tasks are to do, handed on as it is
     :ivar offers: how often it was offered to other holders before
+    :ivar is_from_standby: whether one of them held without a quorum
     """
 
     id: ids.JobId
@@ -84,6 +85,7 @@
     spec: str
     steps: tuple[Step, ...]
     offers: int = 0
+    is_from_standby: bool = False
 
 
 class TaskId(typing.NamedTuple):
@@ -213,6 +215,7 @@
 
     :ivar deadline_ms: the lease's end on the executor's clock, 0 to leave
         the lease as it is
+    :ivar is_look: whether another renewal may be under way beside it
     """
 
     executor: ExecutorId
@@ -221,6 +224,7 @@
     token: int
     noted_upto: int
     wait_ms: int
+    is_look: bool = False
 
 
 class Answer(typing.NamedTuple):
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -123,7 +123,9 @@
         """Put a new engine with a higher token in the place of the old."""
         self._term += 1
         self.engine = self._engine_kind(
-            token=self._term, now=self.now, knows_all=knows_all
+            token=self._term,
+            now=self.now,
+            knows_all_at=self.now + (0.0 if knows_all else 3.0),
         )
         for name in list(self.workers):
             if self.workers[name].is_up:
