--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -73,6 +73,7 @@
             host=self._group, links=node.links, heap=self._heap
         )
         self._listen()
+        self._add_metrics()
         self._heap.every(WATCH_S, self._watch)
         self._heap.every(NEWS_S, self._tell_entries)
 
@@ -183,6 +184,15 @@
         links.handle(messages.ExecutorNews, self._on_executor_news)
         links.handle(messages.EntryBeat, self._on_entry_beat)
 
+    def _add_metrics(self) -> None:
+        registry = self._node.metrics
+        registry.read("is_holder", lambda: self.holding.is_holding)
+        registry.read("term", lambda: self.member.term)
+        registry.read("executors", lambda: len(self._reports))
+        registry.read("document_version", lambda: self.machine.version)
+        registry.read("syncs", lambda: self._group.syncs)
+        registry.read_table("holder_", self.holding.figures)
+
     def _controls(self) -> list[ids.InstanceId]:
         names = {member.name for member in self.member.config.members}
         names.update(ids.InstanceId(a.host) for a in self._cfg.seeds)
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -1,5 +1,6 @@
 """An entry host: takes jobs from callers and has the holder run them."""
 
+import collections
 import enum
 import itertools
 import logging
@@ -108,6 +109,14 @@
         self._jobs: dict[ids.JobId, _Job] = {}
         self._numbers = itertools.count(1)
         self._beats = 0
+        self._outcomes: collections.Counter[str] = collections.Counter()
+        self._latency = node.metrics.timing("job_ms")
+        node.metrics.read_table("jobs_", lambda: self._outcomes)
+        node.metrics.read("jobs_running", lambda: len(self._jobs))
+        node.metrics.read(
+            "document_version",
+            lambda: self.routes.document.version if self.routes else 0,
+        )
         self._cancels: dict[int, Cancelled] = {}
         for address in node.cfg.seeds:
             self._controls.add(node.know(address.host))
@@ -182,7 +191,8 @@
         self, holder: _HolderId, number: int, job: ids.JobId
     ) -> None:
         if holder.host == self._me:
-            self._cancel_done(number, self._holding.cancel(job))
+            outcome = holding.outcome_of(number)
+            self._cancel_done(number, self._holding.cancel(job, outcome))
             return
         cancel = messages.JobCancel(number, job)
         self._node.links.send(holder.host, cancel)
@@ -389,23 +399,35 @@
         state = self._jobs.pop(answer.job, None)
         if state is None:
             return
-        outcome = answer.outcome
-        if outcome is work.Outcome.REFUSED and state.offers:
+        if answer.outcome is work.Outcome.REFUSED and state.offers:
             # A former holder may have started some of it.
             answer = answer._replace(outcome=work.Outcome.LOST)
-        if outcome is not work.Outcome.COMPLETED:
+        waited_s = self._heap.clock.now() - state.since
+        self._outcomes[answer.outcome.value] += 1
+        self._latency.add(waited_s * 1000)
+        if answer.outcome is not work.Outcome.COMPLETED:
             _LOG.info(
                 "entry: a job was not completed",
-                extra={
-                    "job": answer.job,
-                    "outcome": answer.outcome.value,
-                    "reason": answer.reason,
-                    "waited_s": round(self._heap.clock.now() - state.since, 3),
-                },
+                extra=self._describe(state, answer, waited_s),
             )
         for answered in state.waiting.values():
             answered(answer)
 
+    def _describe(
+        self, state: _Job, answer: work.Answer, waited_s: float
+    ) -> dict[str, typing.Any]:
+        """Gather what decided an answer, for the log."""
+        return {
+            "job": answer.job,
+            "outcome": answer.outcome.value,
+            "reason": answer.reason,
+            "waited_s": round(waited_s, 3),
+            "queue": state.job.queue,
+            "offers": state.offers,
+            "holder": state.offered_to.host if state.offered_to else "",
+            "document": self.routes.document.version if self.routes else 0,
+        }
+
     def _on_cancelled(
         self, _link: peers.Link, message: messages.JobCancelled
     ) -> None:
--- a/chervilwheel/control/holder.py
+++ b/chervilwheel/control/holder.py
@@ -64,9 +64,9 @@
         self.engine.offer(job, entry, self._now())
         self.pump()
 
-    def cancel(self, job: ids.JobId) -> bool:
+    def cancel(self, job: ids.JobId, outcome: work.Outcome) -> bool:
         """Stop a job; tells whether it had not ended."""
-        is_known = self.engine.cancel(job, self._now())
+        is_known = self.engine.cancel(job, self._now(), outcome)
         self.pump()
         return is_known
 
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -21,6 +21,15 @@
 Answered = typing.Callable[[work.Answer], None]
 
 
+def outcome_of(number: int) -> work.Outcome:
+    """Tell what a job that is stopped comes to.
+
+    :param number: of the request to stop it; 0 when its callers left or
+        its entry host went over to another holder
+    """
+    return work.Outcome.CANCELLED if number else work.Outcome.LOST
+
+
 class EntryLink(typing.NamedTuple):
     """The link to an entry host, and when it spoke last."""
 
@@ -117,9 +126,9 @@
         if self._holder is not None:
             self._holder.offer(job, self._me)
 
-    def cancel(self, job: ids.JobId) -> bool:
+    def cancel(self, job: ids.JobId, outcome: work.Outcome) -> bool:
         """Stop a job of this host itself."""
-        return self._holder is not None and self._holder.cancel(job)
+        return self._holder is not None and self._holder.cancel(job, outcome)
 
     def hear(self, link: peers.Link) -> None:
         """Take note that an entry host is there."""
@@ -133,6 +142,19 @@
         waiting = self._holder.engine.waiting_by_queue()
         return tuple(messages.QueueCount(*item) for item in waiting.items())
 
+    def figures(self) -> dict[str, float]:
+        """Count what the engine has done, for metrics."""
+        if self._holder is None:
+            return {}
+        decider = self._holder.engine
+        return {
+            "executors": len(decider.executors),
+            "jobs": len(decider.jobs),
+            "waiting": sum(decider.waiting_by_queue().values()),
+            "starts_total": decider.starts,
+            "refusals_total": decider.refusals,
+        }
+
     def tell(self, news: messages.ControlNews) -> None:
         """Send news to the entry hosts, and drop those that are silent."""
         now = self._heap.clock.now()
@@ -167,7 +189,7 @@
         if self._holder is None:
             self._refuse(link)
             return
-        is_known = self._holder.cancel(message.job)
+        is_known = self._holder.cancel(message.job, outcome_of(message.number))
         link.send(messages.JobCancelled(message.number, is_known))
 
     def _on_answer(self, entry: ids.InstanceId, answer: work.Answer) -> None:
--- a/chervilwheel/control/nodesettings.py
+++ b/chervilwheel/control/nodesettings.py
@@ -24,6 +24,7 @@
     :ivar drain_s: time from a request to stop until the end, seconds
     :ivar hold_most_s: a lease lasts so long at most, seconds
     :ivar heartbeat_s: time between two reports of an executor, seconds
+    :ivar metrics_port: where metrics are served as text, 0 for nowhere
     """
 
     name: str
@@ -40,6 +41,7 @@
     drain_s: float
     hold_most_s: float
     heartbeat_s: float
+    metrics_port: int
 
     @property
     def id(self) -> ids.InstanceId:
@@ -83,6 +85,7 @@
         drain_s=reader.number("drain_s", 6.0),
         hold_most_s=reader.number("hold_most_ms", 1000.0) / 1000,
         heartbeat_s=reader.number("heartbeat_ms", 1500.0) / 1000,
+        metrics_port=reader.get("metrics_port", int, 0),
     )
 
 
--- a/chervilwheel/control/runtime.py
+++ b/chervilwheel/control/runtime.py
@@ -11,17 +11,21 @@
 
 from chervilwheel import addresses
 from chervilwheel import clock
+from chervilwheel import guard
 from chervilwheel import ids
+from chervilwheel import metrics
 from chervilwheel import peers
 from chervilwheel import streams
 from chervilwheel import timers
 from chervilwheel.control import nodesettings
+from chervilwheel.http import server
 
 _LOG = logging.getLogger("runtime")
 # A link that is silent for three heartbeats is replaced.
 PEER_HEARTBEAT_S = 0.3
 PEER_SILENCE_S = 0.9
 SIGNAL_POLL_S = 0.1
+METRICS_LIMITS = guard.Limits(header_bytes=8_192, body_bytes=1_024)
 # Most objects die young; full collections would only walk lasting ones.
 GC_THRESHOLDS = (50_000, 50, 100)
 
@@ -49,6 +53,8 @@
             heartbeat_s=PEER_HEARTBEAT_S,
             silence_s=PEER_SILENCE_S,
         )
+        self.metrics = metrics.Registry()
+        self.metrics.read("peer_bytes_sent", lambda: self.links.bytes_sent)
         self.on_stop: typing.Callable[[], None] = self.stop
         self.on_reload: typing.Callable[[], None] = lambda: None
         self._signals: list[int] = []
@@ -68,6 +74,8 @@
 
     def serve(self) -> None:
         """Listen for links and run until stopped."""
+        if self.cfg.metrics_port:
+            self._serve_metrics()
         own = addresses.Address(self.cfg.host, self.cfg.peer_port)
         self.links.listen(own)
         gc.collect()
@@ -78,6 +86,23 @@
             self.run()
         _LOG.info("runtime: ended")
 
+    def _serve_metrics(self) -> None:
+        def answer(exchange: server.Exchange) -> None:
+            body = self.metrics.text().encode()
+            exchange.answer(
+                server.Response(200, body, content_type="text/plain")
+            )
+
+        front = server.HttpServer(
+            loop=self.loop,
+            heap=self.heap,
+            limits=METRICS_LIMITS,
+            timeouts=server.Timeouts(),
+            handler=answer,
+        )
+        address = addresses.Address(self.cfg.host, self.cfg.metrics_port)
+        front.listen(address)
+
     def _on_signal(self, number: int, _frame: typing.Any) -> None:
         self._signals.append(number)
 
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -130,15 +130,29 @@
             self._settle(now)
         self._place(now)
 
-    def cancel(self, job: ids.JobId, now: float) -> bool:
+    def cancel(
+        self,
+        job: ids.JobId,
+        now: float,
+        outcome: work.Outcome = work.Outcome.CANCELLED,
+    ) -> bool:
         """Stop a job.
 
+        :param outcome: LOST when no caller asked for it
         :returns: whether it was known and had not ended
         """
         known = self.jobs.get(job)
         if known is None or known.is_over:
             return False
-        self._finish(known, work.Outcome.CANCELLED, now, reason="cancelled")
+        _LOG.info(
+            "engine: a job is cancelled",
+            extra={
+                "job": job,
+                "started": known.is_started,
+                "outcome": outcome.value,
+            },
+        )
+        self._finish(known, outcome, now, reason="cancelled")
         self._place(now)
         return True
 
@@ -146,8 +160,9 @@
         """Stop the jobs of an entry host that is silent."""
         for state in list(self.jobs.values()):
             if state.entry == entry and not state.is_over:
+                # It may hear of this and of its jobs again.
                 self._finish(
-                    state, work.Outcome.CANCELLED, now, reason="entry_lost"
+                    state, work.Outcome.LOST, now, reason="entry_lost"
                 )
 
     def started(
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,285 @@
+"""Documents, founding, standby, tokens and the leader's lease."""
+
+import pathlib
+import random
+import tempfile
+
+import testtools
+
+from chervilwheel import batches
+from chervilwheel import disk
+from chervilwheel import errors
+from chervilwheel import ids
+from chervilwheel import replica
+from chervilwheel.control import documents
+from chervilwheel.control import founding
+from chervilwheel.control import nodesettings
+from chervilwheel.control import routing
+from chervilwheel.control import standby
+from chervilwheel.control import tokens
+
+TIMING = replica.Timing(heartbeat_s=0.1, election_s=0.5)
+
+
+def put(version, data):
+    command = documents.CODEC.encode(documents.PutDocument(version, data))
+    return batches.CODEC.encode(batches.Batch(1, (command,)))
+
+
+class DocumentMachineTest(testtools.TestCase):
+    """The highest version takes effect, and its first content stays."""
+
+    def setUp(self):
+        super().setUp()
+        self.applied = []
+        self.machine = documents.DocumentMachine(
+            applied=lambda version, data: self.applied.append(version)
+        )
+
+    def test_versions_only_rise(self):
+        for version in (3, 2, 5, 5, 4):
+            self.machine.apply(put(version, b"%d" % version))
+        self.assertEqual([3, 5], self.applied)
+        self.assertEqual(b"5", self.machine.data)
+
+    def test_other_content_under_the_same_version_changes_nothing(self):
+        self.machine.apply(put(7, b"first"))
+        self.machine.apply(put(7, b"second"))
+        self.assertEqual(b"first", self.machine.data)
+
+    def test_a_dump_is_taken_over(self):
+        self.machine.apply(put(7, b"first"))
+        other = documents.DocumentMachine(applied=lambda *_: None)
+        other.load(self.machine.dump())
+        self.assertEqual((7, b"first"), (other.version, other.data))
+
+
+class RoutingTest(testtools.TestCase):
+    """The longest prefix of a host's queues counts."""
+
+    def test_the_longest_prefix_wins(self):
+        queues = tuple(
+            documents.Queue(
+                prefix, "a.example", prefix, ids.ServiceId("s"), 0, 1, 1, 0, 1
+            )
+            for prefix in ("/x/", "/x/y/", "/z/")
+        )
+        document = documents.Document(1, queues, (), documents.Bounds(), b"")
+        table = routing.RouteTable(document=document)
+        self.assertEqual("/x/y/", table.find("A.example:80", "/x/y/1").name)
+        self.assertEqual("/x/", table.find("a.example", "/x/1").name)
+        self.assertIsNone(table.find("b.example", "/x/1"))
+        self.assertIsNone(table.find("a.example", "/other"))
+
+
+class FoundingTest(testtools.TestCase):
+    """Disks found a group once, and join it ever after."""
+
+    def setUp(self):
+        super().setUp()
+        place = tempfile.TemporaryDirectory()
+        self.addCleanup(place.cleanup)
+        self.folder = pathlib.Path(place.name) / "data"
+        self.store = disk.FileDisk()
+        self.addCleanup(self.store.close)
+
+    def identify(self, **options):
+        options.setdefault("is_founding", True)
+        options.setdefault("me", "10.0.0.1")
+        options.setdefault("seeds", ["10.0.0.1", "10.0.0.2", "10.0.0.3"])
+        return founding.identify(self.folder, self.store, **options)
+
+    def open(self, identity):
+        return founding.open_replica(
+            folder=self.folder,
+            store=self.store,
+            identity=identity,
+            group="document",
+            me=ids.InstanceId("10.0.0.1"),
+        )
+
+    def test_the_seeds_of_the_first_start_are_the_voters(self):
+        _, restored, member = self.open(self.identify())
+        voters = restored.snapshot.config.voters
+        self.assertEqual(3, len(voters))
+        self.assertIn(member, voters)
+
+    def test_a_later_start_keeps_the_founders_whatever_it_is_told(self):
+        first = self.identify()
+        again = self.identify(is_founding=False, seeds=["10.0.0.9"])
+        self.assertEqual(first, again)
+
+    def test_an_empty_disk_at_a_later_start_founds_nothing(self):
+        _, restored, member = self.open(self.identify(is_founding=False))
+        self.assertEqual((), restored.snapshot.config.voters)
+        self.assertNotEqual("founding", member.disk)
+
+    def test_a_host_that_is_no_seed_joins(self):
+        identity = self.identify(me="10.0.0.4")
+        self.assertEqual((), identity.founders)
+
+    def test_a_damaged_journal_makes_a_new_disk(self):
+        identity = self.identify()
+        book, restored, member = self.open(identity)
+        for term in (1, 2, 3):
+            book.save(replica.Actions(hard_state=(term, "vote")))
+        (path,) = (self.folder / "document").glob("journal-*")
+        data = bytearray(path.read_bytes())
+        data[len(data) // 2] ^= 0xFF
+        path.write_bytes(bytes(data))
+        self.store.close()
+        _, restored, other = self.open(identity)
+        self.assertNotEqual(member.disk, other.disk)
+        self.assertEqual(0, restored.term)
+
+
+class NodeSettingsTest(testtools.TestCase):
+    """Settings are checked, and errors name the key."""
+
+    GOOD = """
+name = "edge-1"
+role = "entry"
+host = "10.0.0.1"
+zone = "north"
+zones = ["north"]
+seeds = ["10.0.0.2:80"]
+peer_port = 7720
+[listen]
+front = "10.0.0.1:81"
+"""
+
+    def load(self, text):
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as stream:
+            stream.write(text)
+            stream.flush()
+            return nodesettings.load(pathlib.Path(stream.name))
+
+    def test_good_settings_load(self):
+        cfg = self.load(self.GOOD)
+        self.assertEqual(81, cfg.listen["front"].port)
+        self.assertFalse(cfg.is_founding)
+
+    def test_wrong_settings_name_the_key(self):
+        for old, new, key in (
+            ("7720", '"x"', "peer_port"),
+            ('name = "edge-1"', "", "name"),
+            ('"10.0.0.2:80"', '"nowhere"', "nowhere"),
+            ("7720", "true", "peer_port"),
+        ):
+            exc = self.assertRaises(
+                errors.InvalidSettings,
+                self.load,
+                self.GOOD.replace(old, new, 1),
+            )
+            self.assertIn(key, exc.detail)
+
+
+class StandbyTest(testtools.TestCase):
+    """One of the entry hosts that hear each other holds."""
+
+    def setUp(self):
+        super().setUp()
+        self.first = standby.Standby(me=ids.InstanceId("10.0.0.1"))
+        self.second = standby.Standby(me=ids.InstanceId("10.0.0.2"))
+
+    def test_the_first_holds_and_the_second_does_not(self):
+        self.first.hear(ids.InstanceId("10.0.0.2"), 10.3)
+        self.second.hear(ids.InstanceId("10.0.0.1"), 10.3)
+        self.assertTrue(self.first.should_hold(lost_at=10.0, now=10.5))
+        self.assertFalse(self.second.should_hold(lost_at=10.0, now=10.5))
+
+    def test_the_second_holds_when_the_first_is_silent(self):
+        self.second.hear(ids.InstanceId("10.0.0.1"), 10.0)
+        self.assertTrue(self.second.should_hold(lost_at=10.0, now=11.0))
+
+    def test_an_election_is_waited_for(self):
+        self.first.hear_quorum(10.0)
+        self.assertFalse(self.first.should_hold(lost_at=10.0, now=10.5))
+        self.first.hear_quorum(11.0)
+        self.assertTrue(self.first.should_hold(lost_at=10.0, now=11.3))
+
+
+class FenceTest(testtools.TestCase):
+    """Tokens of different holders differ, and fit a JSON number."""
+
+    def test_no_two_holders_share_a_token(self):
+        seen = set()
+        sides = [0] + [tokens.side_of(f"10.{z}.0.7") for z in range(4)]
+        for term in (1, 2, 2**21 - 1):
+            for side in sides:
+                for bump in (0, 1, tokens.MAX_BUMP):
+                    token = tokens.Fence(term, side).token(bump)
+                    self.assertLess(token, 2**53)
+                    seen.add(token)
+        self.assertEqual(3 * 5 * 3, len(seen))
+
+    def test_a_later_leader_goes_before_a_standby_of_the_term_before(self):
+        standby_token = tokens.Fence(4, tokens.side_of("10.1.0.2")).token(0)
+        self.assertGreater(tokens.Fence(5, 0).token(0), standby_token)
+        self.assertGreater(tokens.Fence(4, 0).token(1), standby_token)
+
+
+class LeaderLeaseTest(testtools.TestCase):
+    """A leader knows until when no other can lead."""
+
+    def setUp(self):
+        super().setUp()
+        self.members = tuple(
+            replica.Member(ids.InstanceId(name), "disk") for name in "abc"
+        )
+        first = replica.Snapshot(0, 0, replica.GroupConfig(self.members), b"")
+        self.replicas = {
+            member.name: replica.Replica(
+                group="g",
+                me=member,
+                restored=replica.Restored(0, "", first, ()),
+                peers=(),
+                rng=random.Random(ord(member.name)),
+                now=100.0,
+                timing=TIMING,
+            )
+            for member in self.members
+        }
+        self.leader = self.replicas["a"]
+        self.now = 102.0
+        self.leader.tick(self.now)
+        self.settle()
+
+    def settle(self, hold_back=()):
+        held = []
+        for _ in range(12):
+            for name, each in self.replicas.items():
+                actions = each.take()
+                if actions.needs_sync:
+                    each.synced(self.now)
+                for send in (*actions.early, *actions.late):
+                    if name in hold_back:
+                        held.append(send)
+                    else:
+                        target = self.replicas[send.to]
+                        target.receive(send.message, self.now)
+        return held
+
+    def test_the_lease_counts_from_the_sending(self):
+        self.assertTrue(self.leader.is_leader)
+        self.now += 0.1
+        self.leader.tick(self.now)
+        self.settle()
+        until = self.leader.leads_until()
+        self.assertGreater(until, self.now + 0.4)
+        self.assertLessEqual(until, self.now + 0.5)
+
+    def test_answers_read_after_a_suspension_prove_nothing(self):
+        self.now += 0.1
+        self.leader.tick(self.now)
+        sent_at = self.now
+        held = self.settle(hold_back=("b", "c"))
+        self.now += 5.0
+        for send in held:
+            if send.to == "a":
+                self.leader.receive(send.message, self.now)
+        self.assertLess(self.leader.leads_until(), sent_at + 0.5)
+
+    def test_a_leader_that_hands_on_leads_no_more(self):
+        self.leader.resign(self.now)
+        self.assertEqual(0.0, self.leader.leads_until())
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -68,6 +68,14 @@
         world.run(0.3)
         self.assertEqual(0, sum(m.used for m in world.workers.values()))
 
+    def test_a_job_of_a_silent_entry_host_is_lost_not_cancelled(self):
+        world = workerworld.World()
+        job = world.submit(tasks=2, work_s=0.5)
+        world.run(0.1)
+        world.engine.lose_entry(workerworld.ENTRY, world.now)
+        world.run(0.5)
+        self.assertEqual(work.Outcome.LOST, world.outcome(job))
+
     def test_a_draining_executor_gets_nothing_new(self):
         world = workerworld.World(workers=1)
         world.run(0.5)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,42 @@
+"""Logs never wait for their reader, and their volume is bounded."""
+
+import json
+import logging
+import os
+
+import testtools
+
+from chervilwheel import logs
+
+
+class BoundedHandlerTest(testtools.TestCase):
+    """Lines to a pipe."""
+
+    def setUp(self):
+        super().setUp()
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.handler = logs.BoundedHandler(descriptor=writer)
+        self.handler.setFormatter(logging.Formatter('{"m": "%(message)s"}'))
+
+    def say(self, text):
+        self.handler.handle(
+            logging.LogRecord("part", 20, "", 0, text, (), None)
+        )
+
+    def test_a_reader_that_takes_nothing_holds_nobody_up(self):
+        self.patch(logs, "LINES_PER_S", 10**9)
+        for _ in range(3000):
+            self.say("x" * 1000)
+        self.assertGreater(self.handler.dropped, 0)
+
+    def test_dropped_lines_are_counted_in_a_line(self):
+        self.patch(logs, "LINES_PER_S", 1)
+        self.handler._second = -1
+        self.say("first")
+        self.handler.dropped = 7
+        self.handler._second = -1
+        self.say("second")
+        lines = os.read(self.reader, 65536).decode().splitlines()
+        self.assertEqual(7, json.loads(lines[1])["count"])
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,291 @@
+"""The adapter: each message decodes, each spoilt one is refused."""
+
+import copy
+import json
+import pathlib
+import platform
+import re
+
+import pytest
+import testtools
+
+from chervilwheel import errors
+from chervilwheel import ids
+from chervilwheel.control import documents
+from chervilwheel.http import client
+from chervilwheel.workers import work
+from tests import adapter
+
+ROOT = pathlib.Path(__file__).parent.parent
+wireconfig = adapter.load("wireconfig")
+wirejobs = adapter.load("wirejobs")
+wirejson = adapter.load("wirejson")
+controlapi = adapter.load("controlapi")
+executorcalls = adapter.load("executorcalls")
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "one.example",
+            "pathPrefix": "/peek/",
+            "type": "unsafe",
+            "timeoutMs": 1500,
+            "targetLatencyMs": 60,
+            "priority": 0,
+            "service": "cars",
+            "maxAttempts": 3,
+            "stretch": 1.6,
+        }
+    ],
+    "services": [
+        {
+            "name": "cars",
+            "healthCheckPath": "/health",
+            "maxConnections": 64,
+            "protocol": "h1",
+            "tls": False,
+            "enforcesCapacity": True,
+            "standby": False,
+        }
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 262144,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+}
+JOB = {
+    "spec": "text",
+    "bestEffort": True,
+    "steps": [
+        {"count": 4, "cpu": 500, "memMb": 256, "estimatedMs": 900},
+        {
+            "count": 2,
+            "cpu": 2000,
+            "memMb": 64,
+            "gpu": 1,
+            "estimatedMs": 70,
+            "dependsOn": [0],
+            "requiredLabel": "b",
+            "preferredRack": "r1-3",
+            "antiAffinity": 1,
+        },
+    ],
+}
+BEAT = {
+    "service": "cars",
+    "address": "10.128.0.9:8080",
+    "zone": "north",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clockMs": 482113,
+    "sequence": 4,
+    "machine": "m-0a3f1",
+}
+HOLD = {
+    "clockMs": 482113,
+    "running": [["5c0e7a21d94b36f8.0.1.17", 2, "", 41, 500]],
+    "ended": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
+}
+SPOILT = (
+    None,
+    "text",
+    -1,
+    10**30,
+    1.5,
+    float("nan"),
+    float("inf"),
+    [],
+    {},
+    [None],
+    [[[]]],
+    True,
+    "\ud800",
+)
+QUEUE = documents.Queue(
+    "r-1", "one.example", "/peek/", ids.ServiceId("cars"), 0, 3, 1.6, 60, 1500
+)
+
+
+def decode_job(data):
+    return wirejobs.decode("5c0e7a21d94b36f8", data, QUEUE, {})
+
+
+def decode_hold(data):
+    answer = client.CallAnswer(client.Failure.NONE, 200, data)
+    return executorcalls._hold_answer(answer)
+
+
+def decode_start(data):
+    answer = client.CallAnswer(client.Failure.NONE, 409, data)
+    return executorcalls._start_verdict(answer)
+
+
+DECODERS = {
+    "config": (CONFIG, wireconfig.ConfigDecoder().decode),
+    "job": (JOB, decode_job),
+    "beat": (BEAT, lambda data: controlapi.decode_report("i-1", data)),
+    "hold": (HOLD, decode_hold),
+    "start": ({"clockMs": 5, "reason": "fence"}, decode_start),
+}
+
+
+def places(value, path=()):
+    """List the paths to every value within a value."""
+    yield path
+    if isinstance(value, dict):
+        for key, each in value.items():
+            yield from places(each, (*path, key))
+    elif isinstance(value, list):
+        for index, each in enumerate(value):
+            yield from places(each, (*path, index))
+
+
+def spoil(value, path, new):
+    """Put another value at a path, or take it away."""
+    if not path:
+        return new
+    value = copy.deepcopy(value)
+    inner = value
+    for key in path[:-1]:
+        inner = inner[key]
+    if new is KeyError:
+        del inner[path[-1]]
+    else:
+        inner[path[-1]] = new
+    return value
+
+
+@pytest.mark.parametrize("name", DECODERS)
+def test_a_spoilt_message_is_refused_or_read_never_a_crash(name):
+    """Every field missing, null, of another type, huge or no number."""
+    value, decode = DECODERS[name]
+    for path in places(value):
+        for new in (*SPOILT, KeyError):
+            if not path and new is KeyError:
+                continue
+            data = json.dumps(spoil(value, path, new)).encode()
+            for cut in (len(data), len(data) // 2, 0):
+                try:
+                    decode(data[:cut])
+                except errors.ChervilwheelError as exc:
+                    assert exc.detail
+
+
+class AdapterTest(testtools.TestCase):
+    """Good messages, and what the adapter keeps to itself."""
+
+    def test_a_config_decodes(self):
+        data = json.dumps(CONFIG).encode()
+        document = wireconfig.ConfigDecoder().decode(data)
+        self.assertEqual(7, document.version)
+        self.assertEqual(QUEUE, document.queues[0])
+        self.assertEqual(data, document.data)
+
+    def test_a_config_that_is_wrong_is_refused(self):
+        wrong = {
+            "unknown service": (("routes", 0, "service"), "none"),
+            "no timeout": (("routes", 0, "timeoutMs"), 0),
+            "no version": (("version",), 0),
+        }
+        for name, (path, value) in wrong.items():
+            data = json.dumps(spoil(CONFIG, path, value)).encode()
+            self.assertRaises(
+                errors.InvalidSettings,
+                wireconfig.ConfigDecoder().decode,
+                data,
+            )
+            del name
+        twice = copy.deepcopy(CONFIG)
+        twice["routes"].append(dict(twice["routes"][0], name="r-2"))
+        self.assertRaises(
+            errors.InvalidSettings,
+            wireconfig.ConfigDecoder().decode,
+            json.dumps(twice).encode(),
+        )
+
+    def test_a_job_decodes(self):
+        job = decode_job(json.dumps(JOB).encode())
+        self.assertEqual(work.Room(2000, 64, 1), job.steps[1].room)
+        self.assertEqual((0,), job.steps[1].depends_on)
+        self.assertEqual(1, job.steps[1].most_together)
+
+    def test_a_job_that_asks_for_more_is_refused_and_not_run(self):
+        for path, value in (
+            (("bestEffort",), False),
+            (("runCount",), 3),
+            (("steps", 0, "gangScheduled"), True),
+            (("steps", 0, "longRunning"), True),
+            (("steps", 0, "fills"), True),
+            (("steps", 0, "localitySensitive"), True),
+        ):
+            data = json.dumps(spoil(JOB, path, value)).encode()
+            self.assertRaises(errors.NotRun, decode_job, data)
+
+    def test_a_beat_decodes(self):
+        report = controlapi.decode_report("i-1", json.dumps(BEAT).encode())
+        self.assertEqual(work.Room(16000, 32768, 0), report.room)
+        self.assertFalse(report.is_draining)
+        draining = dict(BEAT, state="draining", remainingMs=4500)
+        report = controlapi.decode_report("i", json.dumps(draining).encode())
+        self.assertTrue(report.is_draining)
+        self.assertEqual(4500, report.remaining_ms)
+
+    def test_the_lists_of_a_hold_decode(self):
+        answer = decode_hold(json.dumps(HOLD).encode())
+        self.assertEqual(work.HoldVerdict.HELD, answer.verdict)
+        task = work.TaskId(ids.JobId("5c0e7a21d94b36f8"), 1, 17)
+        self.assertEqual(work.RunRow(task, 2, 41), answer.running[0])
+        self.assertEqual(work.EndKind.DONE, answer.ended[0].kind)
+
+    def test_every_status_of_a_start_has_a_verdict(self):
+        verdicts = {
+            (200, "{}"): work.StartVerdict.STARTED,
+            (409, '{"reason":"fence"}'): work.StartVerdict.FENCED,
+            (409, '{"reason":"old"}'): work.StartVerdict.RUN_TOO_LOW,
+            (409, '{"reason":"late"}'): work.StartVerdict.TOO_LATE,
+            (409, '{"reason":"room"}'): work.StartVerdict.NO_ROOM,
+            (400, ""): work.StartVerdict.INVALID,
+            (421, ""): work.StartVerdict.OTHER_LIFE,
+            (429, ""): work.StartVerdict.UNHEALTHY,
+            (503, ""): work.StartVerdict.UNHEALTHY,
+            (500, ""): work.StartVerdict.UNKNOWN,
+        }
+        for (status, body), verdict in verdicts.items():
+            answer = client.CallAnswer(
+                client.Failure.NONE, status, body.encode()
+            )
+            seen, _ = executorcalls._start_verdict(answer)
+            self.assertEqual(verdict, seen)
+
+    def test_the_standard_library_platform_still_imports(self):
+        self.assertTrue(platform.python_version())
+        self.assertFalse((ROOT / "platform" / "__init__.py").exists())
+
+    def test_no_wire_name_is_known_outside_the_adapter(self):
+        names = (
+            "bestEffort|pathPrefix|targetLatencyMs|maxAttempts|memMb|"
+            "estimatedMs|deadlineMs|fencingToken|ackedUpto|clockMs|waitMs|"
+            "Expected-Instance|run-start|run-stop|v1/hold|config/put|"
+            "coldRemainingMs|enforcesCapacity|heartbeatAddress|"
+            "Request-Timeout-Ms"
+        )
+        pattern = re.compile(names)
+        for folder in ("chervilwheel", "loadtool"):
+            for path in (ROOT / folder).rglob("*.py"):
+                found = pattern.search(path.read_text())
+                self.assertIsNone(found, f"{path.name}: {found}")
+
+    def test_the_adapter_stays_small(self):
+        lines = sum(
+            len(path.read_text().splitlines())
+            for path in (ROOT / "platform").glob("*.py")
+        )
+        self.assertLess(lines, 1500)
