Wait in a short queue; a line of waiting jobs; refuse what never fits

Cause: 1 job in some hundred was refused on calm seconds although room came up at once: a job waited for its slack only, whatever the queue. Now a queue of at most half a task an executor is waited in until two objectives.

Cause: every end walked all waiting jobs and all executors; now an end offers its own executor only, and the walk stops when nothing fits. A job that no executor could take, were it empty, is refused at once.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -11,7 +11,9 @@
 from chervilwheel.workers import executors
 from chervilwheel.workers import health
 from chervilwheel.workers import jobstate
+from chervilwheel.workers import patience
 from chervilwheel.workers import placement
+from chervilwheel.workers import waiting
 from chervilwheel.workers import work
 
 _LOG = logging.getLogger("engine")
@@ -43,6 +45,8 @@
 # As long a holder without a quorum may hold what is not heard here.
 FORGET_S = 60.0
 NO_ROOM_PAUSE_S = 0.05
+# Larger executors come with a change of the deployment at the earliest.
+NEVER_FITS_RETRY_MS = 60_000
 UNHEALTHY_PAUSE_S = 0.5
 FENCED_PAUSE_S = 1.0
 
@@ -63,7 +67,8 @@
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self.jobs: dict[ids.JobId, jobstate.JobState] = {}
         self._health: dict[work.ExecutorId, health.Health] = {}
-        self._waiting: list[jobstate.JobState] = []
+        self._waiting = waiting.WaitingLine()
+        self._settling: list[jobstate.JobState] = []
         self._over: list[jobstate.JobState] = []
         self._actions: list[work.Action] = []
         self._knows_all_at = knows_all_at
@@ -98,7 +103,7 @@
             return
         if report.is_draining and not known.report.is_draining:
             known.draining_since = now
-        known.report = report
+        known.take_report(report)
         known.heard_at = max(known.heard_at, now - age_s)
         known.learn_clock(report.clock_ms, now)
         self._tend(known, now)
@@ -124,12 +129,35 @@
                 self._over.remove(known)
         state = jobstate.JobState(job=job, entry=entry, now=now)
         self.jobs[job.id] = state
-        self._waiting.append(state)
+        if self._never_fits(job, now):
+            self._finish(
+                state,
+                work.Outcome.REFUSED,
+                now,
+                reason="never_fits",
+                retry_after_ms=NEVER_FITS_RETRY_MS,
+            )
+            return
+        self._waiting.add(state)
         if state.is_settling:
+            self._settling.append(state)
             self._adopt(state, now)
             self._settle(now)
         self._place(now)
 
+    def _never_fits(self, job: work.Job, now: float) -> bool:
+        """Whether no executor could take some task, were it empty."""
+        if job.offers or now < self._knows_all_at:
+            return False
+        rooms = [
+            each.report.room
+            for each in self.executors.values()
+            if each.report.service == job.service
+        ]
+        return bool(rooms) and not all(
+            any(room.holds(step.room) for room in rooms) for step in job.steps
+        )
+
     def cancel(
         self,
         job: ids.JobId,
@@ -254,8 +282,9 @@
             known.is_synced = True
             known.answered_at = max(known.answered_at, sent_at)
         self._compare(known, answer, sent_at, now)
+        was_settling = bool(self._settling)
         self._settle(now)
-        self._place(now)
+        self._place(now, None if was_settling else known)
         self._tend(known, now)
 
     def _not_held(
@@ -451,6 +480,7 @@
         task.next_run = run.number + 1
         if task not in state.pending:
             state.pending.insert(0, task)
+        self._waiting.add(state)
 
     def _stop(
         self, known: executors.Executor, run: executors.Run, now: float
@@ -503,6 +533,8 @@
             return
         state.is_started = True
         state.done(task)
+        if state.pending:
+            self._waiting.add(state)
         if state.is_complete:
             self._finish(state, work.Outcome.COMPLETED, now)
 
@@ -522,8 +554,7 @@
         state.pending = []
         self._actions.append(state.answer)
         self._over.append(state)
-        if state in self._waiting:
-            self._waiting.remove(state)
+        self._waiting.changed()
         for row in state.tasks:
             for task in row:
                 known = self.executors.get(task.executor or "")
@@ -533,33 +564,40 @@
                 if run.state is not executors.RunState.STOPPING:
                     self._stop(known, run, now)
 
-    def _place(self, now: float) -> None:
-        """Order starts for waiting tasks, and refuse what can't wait."""
-        self._waiting.sort(key=_urgency)
-        kept = []
-        for state in list(self._waiting):
-            if state.is_over:
-                continue
+    def _place(
+        self, now: float, changed: executors.Executor | None = None
+    ) -> None:
+        """Order starts for waiting tasks.
+
+        :param changed: the one executor that may have more room than at
+            the last call; None for any
+        """
+        if not self._waiting:
+            return
+        among = self.executors.values() if changed is None else (changed,)
+        usable = [each for each in among if each.may_start(now)]
+        least_cpu = self._waiting.least_cpu()
+        for state in list(self._waiting.ordered()):
+            usable = [each for each in usable if each.free.cpu >= least_cpu]
+            if not usable:
+                return
             if not state.is_settling:
-                self._place_job(state, now)
-            if state.pending or not state.is_started or any(state.undone):
-                kept.append(state)
-        self._waiting = [each for each in kept if not each.is_over]
+                self._place_job(state, usable, now)
 
-    def _place_job(self, state: jobstate.JobState, now: float) -> None:
+    def _place_job(
+        self,
+        state: jobstate.JobState,
+        usable: list[executors.Executor],
+        now: float,
+    ) -> None:
         while state.pending:
             task = state.pending[0]
             step = state.job.steps[task.id.step]
-            known = placement.choose(
-                self.executors.values(),
-                task.id,
-                step,
-                state.job.service,
-                now,
-            )
+            known = placement.choose(usable, task.id, step, state.job.service)
             if known is None:
                 return
             state.pending.pop(0)
+            self._waiting.changed()
             self._start(state, task, step, known, now)
 
     def _start(
@@ -611,10 +649,12 @@
 
     def _settle(self, now: float) -> None:
         """Let jobs start whose former runs are all known or at an end."""
-        settling = [s for s in self._waiting if s.is_settling]
-        self._look_after = max((s.arrived_at for s in settling), default=0.0)
+        settling = [s for s in self._settling if not s.is_over]
         if not settling:
+            self._settling = []
+            self._look_after = 0.0
             return
+        self._look_after = max(state.arrived_at for state in settling)
         known = self.executors.values()
         live = [e for e in known if now - e.heard_at < SILENT_S]
         all_since = min((e.answered_at for e in known), default=0.0)
@@ -628,6 +668,7 @@
             is_seen = knows_all and since > state.arrived_at
             if is_seen or now >= ends_at:
                 state.is_settling = False
+        self._settling = [s for s in settling if s.is_settling]
 
     def _stop_orphans(self, known: executors.Executor, now: float) -> None:
         for run in list(known.runs.values()):
@@ -721,10 +762,17 @@
             self._look(known, now)
 
     def _refuse_late(self, now: float) -> None:
-        for state in list(self._waiting):
-            if state.is_started or state.is_over or state.job.offers:
-                continue
-            waits_s = state.objective_s - state.longest_s
+        fresh = [
+            state
+            for state in self._waiting.ordered()
+            if not (state.is_started or state.is_over or state.job.offers)
+        ]
+        waiting_tasks = sum(len(state.pending) for state in fresh)
+        usable = sum(e.may_start(now) for e in self.executors.values())
+        for state in fresh:
+            waits_s = patience.wait_limit_s(
+                state, waiting_tasks=waiting_tasks, executors=usable
+            )
             if now - state.arrived_at >= waits_s:
                 self.refusals += 1
                 self._finish(
@@ -752,12 +800,8 @@
     def waiting_by_queue(self) -> dict[str, int]:
         """Count the jobs of each queue that have not started."""
         counts: dict[str, int] = {}
-        for state in self._waiting:
+        for state in self._waiting.ordered():
             if not state.is_started:
                 name = state.job.queue
                 counts[name] = counts.get(name, 0) + 1
         return counts
-
-
-def _urgency(state: jobstate.JobState) -> tuple[bool, int, float]:
-    return (not state.is_started, state.job.priority, state.arrived_at)
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -49,6 +49,7 @@
     report: work.ExecutorReport
     heard_at: float
     used: work.Room = work.Room()
+    free: work.Room = work.Room()
     runs: dict[work.TaskId, Run] = dataclasses.field(default_factory=dict)
     noted_upto: int = 0
     told_upto: int = 0
@@ -71,10 +72,14 @@
         """Its identity in this life."""
         return self.report.id
 
-    @property
-    def free(self) -> work.Room:
-        """Room that no run takes."""
-        return self.report.room.minus(self.used)
+    def __post_init__(self) -> None:
+        """Work out what is free."""
+        self.free = self.report.room
+
+    def take_report(self, report: work.ExecutorReport) -> None:
+        """Take over what it says of itself."""
+        self.report = report
+        self.free = report.room.minus(self.used)
 
     def learn_clock(self, clock_ms: int, at: float) -> None:
         """Take over a reading of its clock.
@@ -105,12 +110,14 @@
         """Give room to a run."""
         self.runs[run.task] = run
         self.used = self.used.plus(run.room)
+        self.free = self.report.room.minus(self.used)
 
     def drop(self, task: work.TaskId) -> Run | None:
         """Take the room of a run back."""
         run = self.runs.pop(task, None)
         if run is not None:
             self.used = self.used.minus(run.room)
+            self.free = self.report.room.minus(self.used)
         return run
 
     def may_start(self, now: float) -> bool:
--- a/chervilwheel/workers/placement.py
+++ b/chervilwheel/workers/placement.py
@@ -15,18 +15,17 @@
     task: work.TaskId,
     step: work.Step,
     service: ids.ServiceId,
-    now: float,
 ) -> executors.Executor | None:
     """Return the executor that is best for a task, None when none fits.
 
-    :param now: monotonic time, seconds
+    :param candidates: executors that may start runs
     """
     best = None
     best_cost = 0.0
     need = step.room
     for each in candidates:
         report = each.report
-        if report.service != service or not each.may_start(now):
+        if report.service != service:
             continue
         free = each.free
         if not free.holds(need):
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -50,6 +50,29 @@
         starts = sum(m.starts for m in world.workers.values())
         self.assertEqual(2, starts)
 
+    def test_a_job_that_never_fits_is_refused_at_once(self):
+        world = workerworld.World(workers=2)
+        world.run(4.0)
+        job = world.submit(tasks=1, cpu=workerworld.CPU + 1, work_s=5.0)
+        self.assertEqual(work.Outcome.REFUSED, world.outcome(job))
+        self.assertEqual(0.0, world.latency(job))
+
+    def test_a_short_queue_is_waited_in_and_a_long_one_is_not(self):
+        for jobs, outcome in (
+            (1, work.Outcome.COMPLETED),
+            (12, work.Outcome.REFUSED),
+        ):
+            world = workerworld.World(workers=4)
+            world.run(4.0)
+            for _ in range(4):
+                world.submit(tasks=2, work_s=0.25, priority=0)
+            late = [
+                world.submit(tasks=2, work_s=0.2, estimated_s=0.2)
+                for _ in range(jobs)
+            ]
+            world.run(3.0)
+            self.assertEqual(outcome, world.outcome(late[-1]))
+
     def test_a_task_that_fails_each_time_fails_its_job(self):
         world = workerworld.World(workers=2)
         for model in world.workers.values():
