Stop runs that nobody asked for within 0.3 s; leaders wait for that too

Ruled out: the former leader's own renewals (its lease ended 0.36 s after the cut). Now such runs are stopped within 0.3 s, and a leader waits 0.6 s beyond the leases before it starts what a former leader may have begun, unless every executor has answered. The test test_a_run_that_nobody_asked_for_is_stopped_before_others_start_it failed.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -36,8 +36,10 @@
 # (0.6 s), and its leases end (0.7 s).
 SETTLE_S = 1.4
 # A run that nobody asked for is stopped after this time, within which
-# entry hosts offer their jobs anew.
-ORPHAN_S = 1.0
+# entry hosts offer their jobs anew: two beats.
+ORPHAN_S = 0.3
+# An order to stop that is lost is given again with the next renewal.
+STOP_S = 0.3
 # Full answers are remembered for callers that ask again.
 REMEMBER_S = 10.0
 # Three heartbeats without a word.
@@ -63,7 +65,11 @@
     def __init__(self, *, token: int, knows_all_at: float, now: float) -> None:
         self.token = token
         # The leases that a former leader gave end by then.
-        self._leases_end_at = now + LEASE_S * 1.02 + executors.LEASE_MARGIN_S
+        # A holder without a quorum may have renewed them before it stopped
+        # what nobody there asked for.
+        self._leases_end_at = (
+            now + LEASE_S * 1.02 + executors.LEASE_MARGIN_S + ORPHAN_S + STOP_S
+        )
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self.jobs: dict[ids.JobId, jobstate.JobState] = {}
         self._health: dict[work.ExecutorId, health.Health] = {}
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -149,6 +149,18 @@
         world.run(0.4)
         self.assertEqual(work.Outcome.COMPLETED, world.outcome(job))
 
+    def test_a_run_that_nobody_asked_for_is_stopped_before_others_start_it(
+        self,
+    ):
+        world = workerworld.World(workers=2)
+        job = world.submit(tasks=2, work_s=5.0)
+        world.run(0.3)
+        del world.jobs[job]
+        world.switch_holder()
+        # What a leader elsewhere waits for beyond the lease it knows of.
+        world.run(engine.ORPHAN_S + engine.STOP_S)
+        self.assertEqual(0, sum(m.used for m in world.workers.values()))
+
     def test_the_same_offer_again_attaches(self):
         world = workerworld.World()
         job = world.submit(tasks=2, work_s=0.3)
