--- a/tests/test_workerpath.py
+++ b/tests/test_workerpath.py
@@ -5,6 +5,7 @@
 """
 
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -44,10 +45,23 @@
 }
 
 
+# Below the range of outgoing connections; a hundred for each test process.
+FIRST_PORT = 21_000
+_NUMBERS = itertools.count()
+
+
 def free_port(host):
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Return a port that no other test process uses."""
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0")
+    base = FIRST_PORT + 100 * int(worker.removeprefix("gw"))
+    while True:
+        port = base + next(_NUMBERS) % 100
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+            return port
 
 
 def call(address, method, path, value=None, host="a.example"):
@@ -144,6 +158,16 @@
                     found.append((row["term"], host))
         return max(found)[1] if found else None
 
+    def report(self):
+        """Gather exit codes and the ends of the logs."""
+        rows = [
+            f"{name}: {process.poll()}"
+            for name, process in self.processes.items()
+        ]
+        for path in sorted(self.folder.glob("*.log")):
+            rows.append(f"{path.name}: {path.read_text()[-600:]}")
+        return "\n".join(rows)
+
     def close(self):
         for process in self.processes.values():
             process.kill()
@@ -177,7 +201,7 @@
             except (OSError, http.client.HTTPException):
                 pass
             time.sleep(0.05)
-        self.fail("it didn't come about")
+        self.fail("it didn't come about\n" + self.cluster.report())
 
     def is_put(self):
         address = self.cluster.control(CONTROLS[0])
