--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -8,6 +8,7 @@
 from chervilwheel import disk
 from chervilwheel import grouphost
 from chervilwheel import ids
+from chervilwheel import journal
 from chervilwheel import messages
 from chervilwheel import peers
 from chervilwheel import replica
@@ -138,8 +139,28 @@
     def _open_group(
         self, cfg: nodesettings.NodeSettings
     ) -> grouphost.GroupHost:
-        folder = pathlib.Path(cfg.data_folder)
         store = disk.FileDisk()
+
+        def reopen() -> tuple[replica.Replica, journal.Journal]:
+            store.close()
+            return self._open_replica(cfg, store)
+
+        member, book = self._open_replica(cfg, store)
+        return grouphost.GroupHost(
+            group=documents.GROUP,
+            member=member,
+            book=book,
+            machine=self.machine,
+            heap=self._heap,
+            send=self._node.links.send,
+            compact_bytes=COMPACT_BYTES,
+            reopen=reopen,
+        )
+
+    def _open_replica(
+        self, cfg: nodesettings.NodeSettings, store: disk.Disk
+    ) -> tuple[replica.Replica, journal.Journal]:
+        folder = pathlib.Path(cfg.data_folder)
         seeds = [address.host for address in cfg.seeds]
         identity = founding.identify(
             folder,
@@ -167,15 +188,7 @@
             timing=TIMING,
             voters_wanted=2 * cfg.disk_losses + 1,
         )
-        return grouphost.GroupHost(
-            group=documents.GROUP,
-            member=member,
-            book=book,
-            machine=self.machine,
-            heap=self._heap,
-            send=self._node.links.send,
-            compact_bytes=COMPACT_BYTES,
-        )
+        return member, book
 
     def _listen(self) -> None:
         links = self._node.links
@@ -191,6 +204,7 @@
         registry.read("executors", lambda: len(self._reports))
         registry.read("document_version", lambda: self.machine.version)
         registry.read("syncs", lambda: self._group.syncs)
+        registry.read("is_disk_failed", lambda: self._group.is_halted)
         registry.read_table("holder_", self.holding.figures)
 
     def _controls(self) -> list[ids.InstanceId]:
@@ -298,9 +312,9 @@
         for name in self._controls():
             self._node.know(name)
         if not self.holding.is_holding:
-            if self.member.is_leader and self._may_order():
+            if self._group.is_leader and self._may_order():
                 self._begin_holding()
-        elif not self.member.is_leader:
+        elif not self._group.is_leader:
             self.holding.end("leads no more")
 
     def _begin_holding(self) -> None:
--- a/chervilwheel/grouphost.py
+++ b/chervilwheel/grouphost.py
@@ -17,9 +17,12 @@
 FLUSH_S = 0.25
 COMPACT_BYTES = 64 * 1024 * 1024
 MAX_PROPOSED = 512
+# A disk that was full gets room by hand or by a clean-up, not sooner.
+REOPEN_S = 1.0
 
 Respond = typing.Callable[[messages.GroupReply], None]
 SendTo = typing.Callable[[ids.InstanceId, typing.Any], typing.Any]
+Reopen = typing.Callable[[], tuple[replica.Replica, journal.Journal]]
 
 
 class Machine(abc.ABC):
@@ -61,6 +64,9 @@
     :param heap: timers
     :param send: sends a message to an instance
     :param compact_bytes: the journal is cut short at this size
+    :param reopen: reads the disk again after it failed and raises
+        :class:`errors.StorageError` while it still fails; without it a
+        replica whose disk failed stays halted
     """
 
     def __init__(
@@ -73,8 +79,10 @@
         heap: timers.TimerHeap,
         send: SendTo,
         compact_bytes: int = COMPACT_BYTES,
+        reopen: Reopen | None = None,
     ) -> None:
         self._compact_bytes = compact_bytes
+        self._reopen = reopen
         self.group = group
         self.member = member
         self.is_halted = False
@@ -97,11 +105,16 @@
         heap.every(TICK_S, self._tick)
         self._pump_soon()
 
+    @property
+    def is_leader(self) -> bool:
+        """Whether its replica leads, and its disk works."""
+        return not self.is_halted and self.member.is_leader
+
     def request(
         self, request: messages.GroupRequest, respond: Respond
     ) -> None:
         """Take commands; the reply comes when they are applied."""
-        if self.is_halted or not self.member.is_leader:
+        if not self.is_leader:
             respond(self._refusal(request.number))
             return
         self._arrived.append((request, respond))
@@ -288,6 +301,40 @@
         for request, respond in self._arrived:
             respond(self._refusal(request.number))
         self._arrived = []
+        if self._reopen is not None:
+            self._heap.call_later(REOPEN_S, self._try_reopen)
+
+    def _try_reopen(self) -> None:
+        """Go on from what the disk holds, as after a restart.
+
+        What was written just before the failure can be read and yet not
+        be durable, so all that is read is written anew.
+        """
+        if self._reopen is None:
+            return
+        try:
+            member, book = self._reopen()
+            snapshot = member.log.snapshot
+            book.compact(snapshot, member.log.since(snapshot.index + 1))
+        except errors.ChervilwheelError as exc:
+            _LOG.warning(
+                "keeper: the disk still fails",
+                extra={"group": self.group, "error": exc.detail},
+            )
+            self._heap.call_later(REOPEN_S, self._try_reopen)
+            return
+        self.member = member
+        self._book = book
+        self._machine.load(snapshot.data)
+        self._applied = snapshot.index
+        self._deferred = []
+        self.is_halted = False
+        self.halt_reason = ""
+        _LOG.info(
+            "keeper: group reopened",
+            extra={"group": self.group, "last": member.log.last_index},
+        )
+        self._pump_soon()
 
     def _refusal(self, number: int) -> messages.GroupReply:
         leader = self.member.leader
