Let a standby hold sooner: a quorum is what voters say, not what links do

Cause: a control host said has_quorum while its links to the other control hosts stood, up to 0.9 s after the last byte, also with a failed disk on the other side; the entry host kept that word for 0.8 s more. Ruled out: the take-over itself (a few ms) and the start of the standby's executors.

Change: has_quorum tells whether a leader or most voters were heard within the longest wait for an election (0.8 s), and the word holds for 0.25 s, since it is renewed each 0.15 s. The longest wait of 1.2 s stays. A wait shorter than an election was weighed and left: two holders would take turns at each change of leaders.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -282,18 +282,10 @@
             controls=tuple(self._controls()),
             counts=self.holding.counts(),
             entries=tuple(self.holding.entries),
-            has_quorum=self._has_quorum(),
+            has_quorum=not self._group.is_halted
+            and self.member.hears_quorum(self._heap.clock.now()),
         )
 
-    def _has_quorum(self) -> bool:
-        voters = self.member.config.voters
-        reached = sum(
-            voter.name == self._cfg.id
-            or self._node.links.is_linked(voter.name)
-            for voter in voters
-        )
-        return reached * 2 > len(voters)
-
     def _tell_entries(self) -> None:
         self._forget_reports()
         self.holding.tell(self._news())
--- a/chervilwheel/control/standby.py
+++ b/chervilwheel/control/standby.py
@@ -10,6 +10,8 @@
 WAIT_S = 0.35
 # An election takes up to 0.9 s; taking over is then a matter of 10 ms.
 ELECTION_WAIT_S = 1.2
+# Control hosts tell each 0.15 s whether they hear a quorum.
+QUORUM_SILENCE_S = 0.25
 # Longer than the beats to hosts that don't hold.
 SILENCE_S = 0.8
 
@@ -45,7 +47,7 @@
 
         :param lost_at: since when no leader holds, seconds
         """
-        is_electing = now - self._quorum_at < SILENCE_S
+        is_electing = now - self._quorum_at < QUORUM_SILENCE_S
         wait_s = ELECTION_WAIT_S if is_electing else WAIT_S
         if now - lost_at < wait_s:
             return False
--- a/chervilwheel/replica.py
+++ b/chervilwheel/replica.py
@@ -131,6 +131,7 @@
         self._now = now
         self._stamp = 0.0
         self._transferred = -1
+        self._voters_heard: dict[Member, float] = {}
         self._config_index, self.config = self.log.config()
         self._reset_election(now)
 
@@ -179,6 +180,22 @@
             return math.inf
         return stamps[quorum] + LEASE_SHARE * self._timing.election_s
 
+    def hears_quorum(self, now: float) -> bool:
+        """Whether a leader stands or can be elected, as far as seen here.
+
+        It takes the longest wait for an election without a word from a
+        leader or from most voters to deny it.
+        """
+        wait_s = 2 * self._timing.election_s
+        if now - self._heard_leader_at < wait_s:
+            return True
+        recent = {
+            member
+            for member, at in self._voters_heard.items()
+            if now - at < wait_s
+        }
+        return self._is_quorum({self.me, *recent})
+
     def take(self) -> Actions:
         """Hand out what has to be done, once."""
         actions = self._actions
@@ -271,6 +288,7 @@
             return
         if message.to != self.me:
             return
+        self._voters_heard[message.sender] = now
         is_pre_vote = (
             isinstance(message, VoteRequest | VoteReply) and message.is_pre
         )
