A second holder in a cut: known tokens, leases of one's own runs only

The second and third cut refused nearly all of the cut zone's jobs (148 in 4.3 s). The new line "engine: a job is refused" shows usable 0 all the while: each executor had answered "fenced". The leader raises its token after the first cut, a standby began with the lowest one and may not raise. Then TWICE at 18.567 s: "a run's lease has ended" 18 ms after the lease, the run ended 28 ms later: executors take up to stopTimeoutMs to end a run. Then TWICE at 18.604 s: the standby, which now begins 0.4 s after a cut that links show at once, prolonged the lease of a run that the leader took as lapsed. A holder no longer prolongs leases while an executor runs what it hasn't ordered or taken over, reckons that another prolonged them just before its own token, starts nothing for an entry host that hasn't said for 0.4 s that it goes by this holder (beats say by whom), and settles a job anew that comes back from another holder. has_quorum asks for links too. Ruled out: executors' clocks (the deadline was passed by 1:1 and by 2%).

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -67,6 +67,7 @@
             port=port,
             refuse=lambda link: link.send(self._news()),
             answered=lambda _answer: None,
+            stop_s=node.cfg.stop_s,
         )
         self.machine = documents.DocumentMachine(applied=self._on_document)
         self._group = self._open_group(node.cfg)
@@ -247,7 +248,8 @@
         self, link: peers.Link, message: messages.EntryBeat
     ) -> None:
         former = self.holding.entries.get(link.peer)
-        self.holding.hear(link)
+        self.holding.hear(link, goes_by=message.holder)
+        self.holding.learn_token(message.token)
         if message.document_version < self.machine.version:
             self._push(link)
         if former is None or former.link is not link:
@@ -282,8 +284,22 @@
             controls=tuple(self._controls()),
             counts=self.holding.counts(),
             entries=tuple(self.holding.entries),
-            has_quorum=not self._group.is_halted
-            and self.member.hears_quorum(self._heap.clock.now()),
+            has_quorum=self._has_quorum(),
+            token=self.holding.highest_token,
+        )
+
+    def _has_quorum(self) -> bool:
+        """Whether a leader stands or can be elected soon."""
+        voters = self.member.config.voters
+        linked = sum(
+            voter.name == self._cfg.id
+            or self._node.links.is_linked(voter.name)
+            for voter in voters
+        )
+        return (
+            not self._group.is_halted
+            and linked * 2 > len(voters)
+            and self.member.hears_quorum(self._heap.clock.now())
         )
 
     def _tell_entries(self) -> None:
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -101,6 +101,7 @@
             port=port,
             refuse=lambda link: link.send(self._news()),
             answered=lambda answer: self._take_answer(answer, self._me),
+            stop_s=node.cfg.stop_s,
         )
         self._holder: _HolderId | None = None
         self._holder_heard_at = 0.0
@@ -200,7 +201,9 @@
     def _beat(self) -> None:
         now = self._heap.clock.now()
         version = self.routes.document.version if self.routes else 0
-        beat = messages.EntryBeat(self._me, version)
+        token = self._holding.highest_token
+        holder = self._holder.host if self._holder else ids.InstanceId("")
+        beat = messages.EntryBeat(self._me, version, token, holder)
         receivers: set[ids.InstanceId] = set()
         self._beats += 1
         if self._holder is not None and not self._holder.is_standby:
@@ -222,9 +225,10 @@
         self._give_up(now)
 
     def _on_entry_beat(
-        self, link: peers.Link, _beat: messages.EntryBeat
+        self, link: peers.Link, beat: messages.EntryBeat
     ) -> None:
-        self._holding.hear(link)
+        self._holding.hear(link, goes_by=beat.holder)
+        self._holding.learn_token(beat.token)
         self._entries.add(link.peer)
         self._standby.hear(link.peer, self._heap.clock.now())
         if self._holding.is_holding:
@@ -252,6 +256,7 @@
             controls=(),
             counts=self._holding.counts(),
             is_standby=True,
+            token=self._holding.highest_token,
         )
 
     def _maybe_hold(self, now: float) -> None:
@@ -285,6 +290,7 @@
         if news.has_quorum:
             self._standby.hear_quorum(now)
         self._term = max(self._term, news.term)
+        self._holding.learn_token(news.token)
         if not news.holder:
             if self._holder and self._holder.host == news.control:
                 self._lose_holder("resigned")
--- a/chervilwheel/control/holder.py
+++ b/chervilwheel/control/holder.py
@@ -24,6 +24,7 @@
     :param port: carries orders to executors
     :param decider: the engine
     :param fence: what sets this holder's tokens apart
+    :param bump: what the engine's token was made with
     :param answered: told the entry host and the final word on its job
     :param may_order: whether orders may leave now
     """
@@ -35,6 +36,7 @@
         port: ports.ExecutorPort,
         decider: engine.Engine,
         fence: tokens.Fence,
+        bump: int,
         answered: Answered,
         may_order: typing.Callable[[], bool],
     ) -> None:
@@ -44,7 +46,7 @@
         self._answered = answered
         self._may_order = may_order
         self._fence = fence
-        self._bump = 0
+        self._bump = bump
         self._is_closed = False
         self._heap.call_later(TICK_S, self._tick)
 
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -46,6 +46,7 @@
     :param port: carries orders to executors
     :param refuse: tells an entry host that this host doesn't hold
     :param answered: takes answers to jobs of this host itself
+    :param stop_s: time that an executor takes at most to end a run, seconds
     """
 
     def __init__(
@@ -57,13 +58,16 @@
         port: ports.ExecutorPort,
         refuse: typing.Callable[[peers.Link], None],
         answered: Answered,
+        stop_s: float,
     ) -> None:
         self._me = me
         self._heap = heap
         self._port = port
         self._refuse = refuse
         self._answered = answered
+        self._stop_s = stop_s
         self._holder: holder.Holder | None = None
+        self._highest_token = 0
         self.entries: dict[ids.InstanceId, EntryLink] = {}
         links.handle(messages.JobOffer, self._on_offer)
         links.handle(messages.JobCancel, self._on_cancel)
@@ -73,6 +77,17 @@
         """Whether this host holds the executors."""
         return self._holder is not None
 
+    @property
+    def highest_token(self) -> int:
+        """The highest fencing token that is known here, 0 for none."""
+        if self._holder is not None:
+            self.learn_token(self._holder.engine.token)
+        return self._highest_token
+
+    def learn_token(self, token: int) -> None:
+        """Take note of a holder's token; later ones here go beyond it."""
+        self._highest_token = max(self._highest_token, token)
+
     def begin(
         self,
         *,
@@ -86,14 +101,19 @@
         :param reports: each with its time of arrival, seconds
         """
         now = self._heap.clock.now()
+        bump = fence.bump_above(self._highest_token)
         decider = engine.Engine(
-            token=fence.token(0), knows_all_at=knows_all_at, now=now
+            token=fence.token(bump),
+            knows_all_at=knows_all_at,
+            now=now,
+            stop_s=self._stop_s,
         )
         self._holder = holder.Holder(
             heap=self._heap,
             port=self._port,
             decider=decider,
             fence=fence,
+            bump=bump,
             answered=self._on_answer,
             may_order=may_order,
         )
@@ -103,6 +123,7 @@
             extra={
                 "term": fence.term,
                 "side": fence.side,
+                "bump": bump,
                 "executors": len(known),
             },
         )
@@ -112,6 +133,7 @@
     def end(self, why: str) -> None:
         """Give no more orders; what runs lapses or is taken over."""
         if self._holder is not None:
+            self.learn_token(self._holder.engine.token)
             _LOG.info("holding: ended", extra={"why": why})
             self._holder.close()
             self._holder = None
@@ -130,10 +152,15 @@
         """Stop a job of this host itself."""
         return self._holder is not None and self._holder.cancel(job, outcome)
 
-    def hear(self, link: peers.Link) -> None:
-        """Take note that an entry host is there."""
+    def hear(self, link: peers.Link, *, goes_by: ids.InstanceId) -> None:
+        """Take note that an entry host is there.
+
+        :param goes_by: the holder that it hands its jobs to
+        """
         now = self._heap.clock.now()
         self.entries[link.peer] = EntryLink(link, now)
+        if self._holder is not None and goes_by == self._me:
+            self._holder.engine.hear_entry(link.peer, now)
 
     def counts(self) -> tuple[messages.QueueCount, ...]:
         """Count the waiting jobs of each queue."""
@@ -158,6 +185,8 @@
     def tell(self, news: messages.ControlNews) -> None:
         """Send news to the entry hosts, and drop those that are silent."""
         now = self._heap.clock.now()
+        if self._holder is not None:
+            self._holder.engine.hear_entry(self._me, now)
         for name, known in list(self.entries.items()):
             silent_s = now - known.heard_at
             if silent_s > ENTRY_FORGET_S:
@@ -176,7 +205,7 @@
             known.link.send(news)
 
     def _on_offer(self, link: peers.Link, message: messages.JobOffer) -> None:
-        self.hear(link)
+        self.hear(link, goes_by=self._me)
         if self._holder is None:
             self._refuse(link)
         else:
@@ -185,7 +214,7 @@
     def _on_cancel(
         self, link: peers.Link, message: messages.JobCancel
     ) -> None:
-        self.hear(link)
+        self.hear(link, goes_by=ids.InstanceId(""))
         if self._holder is None:
             self._refuse(link)
             return
--- a/chervilwheel/control/tokens.py
+++ b/chervilwheel/control/tokens.py
@@ -26,8 +26,17 @@
 
         :param bump: raised when an executor has seen a higher token
         """
-        low = (self.term % 2**TERM_BITS << SIDE_BITS) | self.side
-        return (bump << (TERM_BITS + SIDE_BITS)) | low
+        return (bump << (TERM_BITS + SIDE_BITS)) | self._low()
+
+    def bump_above(self, token: int) -> int:
+        """Return the least bump whose token is higher than another one."""
+        bump = token >> (TERM_BITS + SIDE_BITS)
+        if self.token(bump) <= token:
+            bump += 1
+        return min(bump, MAX_BUMP)
+
+    def _low(self) -> int:
+        return (self.term % 2**TERM_BITS << SIDE_BITS) | self.side
 
 
 def side_of(host: str) -> int:
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -336,10 +336,17 @@
 
 
 class EntryBeat(typing.NamedTuple):
-    """An entry host is there; the version is of its document."""
+    """An entry host is there.
+
+    :ivar document_version: the version of its document
+    :ivar token: the highest fencing token that it has heard of
+    :ivar holder: the holder that it goes by, empty for none
+    """
 
     entry: ids.InstanceId
     document_version: int
+    token: int = 0
+    holder: ids.InstanceId = ids.InstanceId("")
 
 
 class QueueCount(typing.NamedTuple):
@@ -357,6 +364,7 @@
     :ivar entries: the entry hosts that it hears
     :ivar is_standby: whether it holds without a quorum
     :ivar has_quorum: whether it reaches enough voters for an election
+    :ivar token: the highest fencing token that it has heard of
     """
 
     control: ids.InstanceId
@@ -367,6 +375,7 @@
     entries: tuple[str, ...] = ()
     is_standby: bool = False
     has_quorum: bool = False
+    token: int = 0
 
 
 class DocumentPush(typing.NamedTuple):
--- a/chervilwheel/replica.py
+++ b/chervilwheel/replica.py
@@ -132,6 +132,7 @@
         self._stamp = 0.0
         self._transferred = -1
         self._voters_heard: dict[Member, float] = {}
+        self._leader_spoke_at = -math.inf
         self._config_index, self.config = self.log.config()
         self._reset_election(now)
 
@@ -187,7 +188,7 @@
         leader or from most voters to deny it.
         """
         wait_s = 2 * self._timing.election_s
-        if now - self._heard_leader_at < wait_s:
+        if now - self._leader_spoke_at < wait_s:
             return True
         recent = {
             member
@@ -677,7 +678,7 @@
             self._reply_append(message.sender, False, 0)
             return
         self._follow(message.term, message.sender, now)
-        self._heard_leader_at = now
+        self._heard_leader_at = self._leader_spoke_at = now
         prev = message.prev_index
         if prev < self.log.snapshot.index:
             # All up to the snapshot is committed, so it matches.
@@ -721,7 +722,7 @@
             self._reply_append(message.sender, False, 0)
             return
         self._follow(message.term, message.sender, now)
-        self._heard_leader_at = now
+        self._heard_leader_at = self._leader_spoke_at = now
         if message.last_index <= self.commit:
             self._reply_append(message.sender, True, self.commit)
             return
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -314,6 +314,8 @@
 struct EntryBeat {
   entry @0 :Text;
   documentVersion @1 :UInt64;
+  token @2 :UInt64;
+  holder @3 :Text;
 }
 
 struct QueueCount { queue @0 :Text; waiting @1 :UInt32; }
@@ -327,6 +329,7 @@
   entries @5 :List(Text);
   isStandby @6 :Bool;
   hasQuorum @7 :Bool;
+  token @8 :UInt64;
 }
 
 struct DocumentPush { version @0 :UInt64; data @1 :Data; }
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -40,6 +40,13 @@
 ORPHAN_S = 0.3
 # An order to stop that is lost is given again with the next renewal.
 STOP_S = 0.3
+# Nothing starts for an entry host that has not been heard for this time:
+# by then it may have gone over to a holder without a quorum, which takes
+# its runs over 0.35 s after a cut at the earliest; a lease that such a
+# holder prolongs would have ended 0.45 s after the cut.
+ENTRY_QUIET_S = 0.4
+# Executors end a run within this time unless the settings say otherwise.
+RUN_STOP_S = 0.05
 # Full answers are remembered for callers that ask again.
 REMEMBER_S = 10.0
 # Three heartbeats without a word.
@@ -60,15 +67,29 @@
     :param knows_all_at: from when on the reports handed in cover all
         executors that another holder may have used, seconds
     :param now: monotonic time, seconds
+    :param stop_s: time that an executor takes at most to end a run, seconds
     """
 
-    def __init__(self, *, token: int, knows_all_at: float, now: float) -> None:
+    def __init__(
+        self,
+        *,
+        token: int,
+        knows_all_at: float,
+        now: float,
+        stop_s: float = RUN_STOP_S,
+    ) -> None:
         self.token = token
+        self._stop_s = stop_s
         # The leases that a former leader gave end by then.
         # A holder without a quorum may have renewed them before it stopped
         # what nobody there asked for.
         self._leases_end_at = (
-            now + LEASE_S * 1.02 + executors.LEASE_MARGIN_S + ORPHAN_S + STOP_S
+            now
+            + LEASE_S * 1.02
+            + executors.LEASE_MARGIN_S
+            + ORPHAN_S
+            + STOP_S
+            + stop_s
         )
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self.jobs: dict[ids.JobId, jobstate.JobState] = {}
@@ -79,6 +100,7 @@
         self._actions: list[work.Action] = []
         self._knows_all_at = knows_all_at
         self._found_done: dict[work.TaskId, float] = {}
+        self._entries: dict[ids.InstanceId, float] = {}
         self._look_after = 0.0
         self.starts = 0
         self.refusals = 0
@@ -99,7 +121,9 @@
         if known is None:
             if report.is_gone:
                 return
-            known = executors.Executor(report=report, heard_at=now - age_s)
+            known = executors.Executor(
+                report=report, heard_at=now - age_s, stop_s=self._stop_s
+            )
             self.executors[report.id] = known
             self._health[report.id] = health.Health()
         elif report.is_gone:
@@ -114,12 +138,21 @@
         known.learn_clock(report.clock_ms, now)
         self._tend(known, now)
 
+    def hear_entry(self, entry: ids.InstanceId, now: float) -> None:
+        """Take note that an entry host still goes by this holder."""
+        self._entries[entry] = now
+
     def offer(self, job: work.Job, entry: ids.InstanceId, now: float) -> None:
         """Take a job in, or attach to the one under its id."""
+        self.hear_entry(entry, now)
         known = self.jobs.get(job.id)
         if known is not None:
             known.entry = entry
             if not known.is_over:
+                if job.offers > known.job.offers:
+                    known.settle_again(job, now)
+                    self._settling.append(known)
+                    self._adopt(known, now)
                 return
             if known.answer and known.answer.outcome is work.Outcome.COMPLETED:
                 self._actions.append(known.answer)
@@ -285,6 +318,12 @@
         known.learn_clock(answer.clock_ms, now)
         known.told_upto = max(known.told_upto, order.noted_upto)
         if order.token == self.token:
+            if not known.is_synced:
+                # Another holder may have prolonged the lease just before.
+                deadline_ms = known.deadline_ms(now, LEASE_S)
+                known.lease_deadline_ms = max(
+                    known.lease_deadline_ms, deadline_ms
+                )
             known.is_synced = True
             known.answered_at = max(known.answered_at, sent_at)
         self._compare(known, answer, sent_at, now)
@@ -587,9 +626,13 @@
             usable = [each for each in usable if each.free.cpu >= least_cpu]
             if not usable:
                 return
-            if not state.is_settling:
+            if not state.is_settling and self._is_heard(state.entry, now):
                 self._place_job(state, usable, now)
 
+    def _is_heard(self, entry: ids.InstanceId, now: float) -> bool:
+        heard_at = self._entries.get(entry)
+        return heard_at is not None and now - heard_at < ENTRY_QUIET_S
+
     def _place_job(
         self,
         state: jobstate.JobState,
@@ -598,6 +641,8 @@
     ) -> None:
         while state.pending:
             task = state.pending[0]
+            if state.job.offers and self._runs_somewhere(task.id):
+                return
             step = state.job.steps[task.id.step]
             known = placement.choose(usable, task.id, step, state.job.service)
             if known is None:
@@ -606,6 +651,10 @@
             self._waiting.changed()
             self._start(state, task, step, known, now)
 
+    def _runs_somewhere(self, task: work.TaskId) -> bool:
+        """Whether a run of a task that is to be stopped isn't over yet."""
+        return any(task in each.runs for each in self.executors.values())
+
     def _start(
         self,
         state: jobstate.JobState,
@@ -660,7 +709,7 @@
             self._settling = []
             self._look_after = 0.0
             return
-        self._look_after = max(state.arrived_at for state in settling)
+        self._look_after = max(state.settles_from for state in settling)
         known = self.executors.values()
         live = [e for e in known if now - e.heard_at < SILENT_S]
         all_since = min((e.answered_at for e in known), default=0.0)
@@ -668,10 +717,11 @@
         knows_all = now >= self._knows_all_at
         for state in settling:
             if state.job.is_from_standby:
-                since, ends_at = all_since, state.arrived_at + SETTLE_S
+                settle_s = SETTLE_S + self._stop_s
+                since, ends_at = all_since, state.settles_from + settle_s
             else:
                 since, ends_at = live_since, self._leases_end_at
-            is_seen = knows_all and since > state.arrived_at
+            is_seen = knows_all and since > state.settles_from
             if is_seen or now >= ends_at:
                 state.is_settling = False
         self._settling = [s for s in settling if s.is_settling]
@@ -713,7 +763,20 @@
         """Drop the runs of a silent executor whose leases have ended."""
         for run in list(known.runs.values()):
             deadline_ms = max(known.lease_deadline_ms, run.order_deadline_ms)
-            if now >= known.passes_at(deadline_ms):
+            if now >= known.over_at(deadline_ms):
+                _LOG.info(
+                    "engine: a run's lease has ended",
+                    extra={
+                        "task": run.task,
+                        "run": run.number,
+                        "executor": known.id,
+                        "silent_s": round(now - known.silent_since, 3),
+                        "lease_ms": known.lease_deadline_ms,
+                        "order_ms": run.order_deadline_ms,
+                        "clock_ms": known.clock_ms,
+                        "clock_age_s": round(now - known.clock_at, 3),
+                    },
+                )
                 known.drop(run.task)
                 self._again(run, now)
 
@@ -722,9 +785,10 @@
             return
         known.is_holding = True
         known.hold_sent_at = now
-        # While it is silent its lease must come to an end.
+        # While it is silent its lease must come to an end, and so must the
+        # leases of runs that another holder may start again.
         deadline_ms = 0
-        if not known.silent_since:
+        if not known.silent_since and known.is_owned:
             deadline_ms = known.deadline_ms(now, LEASE_S)
         known.lease_deadline_ms = max(known.lease_deadline_ms, deadline_ms)
         wait_ms = int(HOLD_WAIT_S * 1000)
@@ -781,6 +845,17 @@
             )
             if now - state.arrived_at >= waits_s:
                 self.refusals += 1
+                _LOG.info(
+                    "engine: a job is refused",
+                    extra={
+                        "job": state.job.id,
+                        "waited_s": round(now - state.arrived_at, 3),
+                        "limit_s": round(waits_s, 3),
+                        "waiting_tasks": waiting_tasks,
+                        "usable": usable,
+                        "executors": len(self.executors),
+                    },
+                )
                 self._finish(
                     state,
                     work.Outcome.REFUSED,
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -44,10 +44,14 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Executor:
-    """One life of an executor."""
+    """One life of an executor.
+
+    :ivar stop_s: time that it takes at most to end a run, seconds
+    """
 
     report: work.ExecutorReport
     heard_at: float
+    stop_s: float
     used: work.Room = work.Room()
     free: work.Room = work.Room()
     runs: dict[work.TaskId, Run] = dataclasses.field(default_factory=dict)
@@ -72,6 +76,13 @@
         """Its identity in this life."""
         return self.report.id
 
+    @property
+    def is_owned(self) -> bool:
+        """Whether this holder has ordered or taken over all that runs."""
+        return self.is_synced and not any(
+            run.is_orphan for run in self.runs.values()
+        )
+
     def __post_init__(self) -> None:
         """Work out what is free."""
         self.free = self.report.room
@@ -101,10 +112,15 @@
         """Tell the time on its clock a lease from now."""
         return int(self.clock_ms + (now - self.clock_at + lease_s) * 1000)
 
-    def passes_at(self, deadline_ms: int) -> float:
-        """Tell when its clock has passed a time for certain, seconds."""
+    def over_at(self, deadline_ms: int) -> float:
+        """Tell when what was leased until then has ended for certain.
+
+        :param deadline_ms: on its own clock
+        :returns: seconds on the clock of this process
+        """
         rest_s = (deadline_ms - self.clock_ms) / 1000
-        return self.clock_at + rest_s / (1 - CLOCK_SLOWNESS) + LEASE_MARGIN_S
+        passes_at = self.clock_at + rest_s / (1 - CLOCK_SLOWNESS)
+        return passes_at + self.stop_s + LEASE_MARGIN_S
 
     def add(self, run: Run) -> None:
         """Give room to a run."""
--- a/chervilwheel/workers/jobstate.py
+++ b/chervilwheel/workers/jobstate.py
@@ -5,6 +5,9 @@
 from chervilwheel import ids
 from chervilwheel.workers import work
 
+# More runs than one holder gives a task: attempts are at most ten.
+RUNS_AN_OFFER = 16
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Task:
@@ -33,6 +36,7 @@
         self.arrived_at = now
         self.is_started = False
         self.is_settling = job.offers > 0
+        self.settles_from = now
         self.answer: work.Answer | None = None
         self.ended_at = 0.0
         self.tasks = [
@@ -51,6 +55,16 @@
         self._opened: set[int] = set()
         self.open_steps()
 
+    def settle_again(self, job: work.Job, now: float) -> None:
+        """Take note that another holder had the job meanwhile."""
+        self.job = job
+        self.is_settling = True
+        self.settles_from = now
+        for row in self.tasks:
+            for task in row:
+                first_run = 1 + job.offers * RUNS_AN_OFFER
+                task.next_run = max(task.next_run, first_run)
+
     @property
     def longest_s(self) -> float:
         """Estimated time of its longest chain of steps, seconds."""
@@ -107,7 +121,3 @@
         self.undone[task.id.step] -= 1
         if not self.undone[task.id.step]:
             self.open_steps()
-
-
-# More runs than one holder gives a task: attempts are at most ten.
-RUNS_AN_OFFER = 16
--- a/loadtool/engine_cost.py
+++ b/loadtool/engine_cost.py
@@ -87,6 +87,7 @@
                 spec="",
                 steps=(step,),
             )
+            self._engine.hear_entry(ENTRY, self._now)
             self._engine.offer(job, ENTRY, self._now)
             self._obey()
             have += step.count
--- a/standins/workermodel.py
+++ b/standins/workermodel.py
@@ -40,6 +40,7 @@
     :param cpu: its room, thousandths of a core
     :param clock_rate: speed of its own clock against true time
     :param speed: speed of its processors
+    :param stop_s: time that ending a run takes, seconds
     :param now: true time, seconds
     """
 
@@ -50,9 +51,11 @@
         now: float,
         clock_rate: float = 1.0,
         speed: float = 1.0,
+        stop_s: float = 0.0,
     ) -> None:
         self.cpu = cpu
         self.speed = speed
+        self.stop_s = stop_s
         self.token = 0
         self.lease_ms = 0
         self.running: dict[str, Running] = {}
@@ -126,7 +129,8 @@
         self._highest[task] = max(self._highest.get(task, 0), run)
         present = self.running.get(task)
         if present is not None and present.run == run:
-            self._end(present, "stopped")
+            self._cut_short(present, now, "stopped")
+            self.advance(now)
         return Verdict.OK
 
     def hold(
@@ -165,19 +169,23 @@
 
     def advance(self, now: float) -> None:
         """End what has ended by a time."""
+        lapses_at = self._born_at + self.lease_ms / 1000 / self._clock_rate
         for run in sorted(self.running.values(), key=lambda r: r.ends_at):
-            lapses_at = self._born_at + self.lease_ms / 1000 / self._clock_rate
-            if run.ends_at <= min(now, lapses_at):
+            if now > lapses_at:
+                self._cut_short(run, lapses_at, "lapsed")
+            if run.ends_at <= now:
                 self._end(run, run.ends_how)
-        if self.clock_ms(now) > self.lease_ms:
-            for run in list(self.running.values()):
-                self._end(run, "lapsed")
 
     def crash(self) -> None:
         """End this life with all that runs."""
         self.is_up = False
         self.running.clear()
 
+    def _cut_short(self, run: Running, at: float, how: str) -> None:
+        """Begin to end a run; it may still end by itself meanwhile."""
+        if run.ends_at > at + self.stop_s:
+            run.ends_at, run.ends_how = at + self.stop_s, how
+
     def _end(self, run: Running, how: str) -> None:
         self._number += 1
         self._highest[run.task] = max(self._highest.get(run.task, 0), run.run)
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -14,6 +14,8 @@
 
 REPORT_S = 0.3
 POLL_S = 0.005
+# Ending a run takes so long, as long as the platform allows.
+STOP_S = 0.05
 REASONS = {200: "OK", 404: "Not Found", 409: "Conflict"}
 
 
@@ -30,7 +32,7 @@
         self._name = f"w-{number}"
         self._sequence = 0
         self._model = workermodel.WorkerModel(
-            cpu=opts.cpu, now=time.monotonic()
+            cpu=opts.cpu, now=time.monotonic(), stop_s=STOP_S
         )
         self._noted: set[tuple[str, int]] = set()
         self._file = open(opts.runs, "a", buffering=1)  # noqa: SIM115
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -6,17 +6,23 @@
 
 import testtools
 
+from chervilwheel import addresses
 from chervilwheel import batches
+from chervilwheel import clock
 from chervilwheel import disk
 from chervilwheel import errors
 from chervilwheel import ids
 from chervilwheel import replica
+from chervilwheel import timers
 from chervilwheel.control import documents
 from chervilwheel.control import founding
+from chervilwheel.control import holding
 from chervilwheel.control import nodesettings
 from chervilwheel.control import routing
 from chervilwheel.control import standby
 from chervilwheel.control import tokens
+from chervilwheel.workers import ports
+from chervilwheel.workers import work
 
 TIMING = replica.Timing(heartbeat_s=0.1, election_s=0.5)
 
@@ -297,6 +303,19 @@
             self.assertTrue(each.hears_quorum(self.now + 0.9))
             self.assertFalse(each.hears_quorum(self.now + 1.1))
 
+    def test_a_restarted_voter_hears_no_quorum_yet(self):
+        first = replica.Snapshot(0, 0, replica.GroupConfig(self.members), b"")
+        restarted = replica.Replica(
+            group="g",
+            me=self.members[1],
+            restored=replica.Restored(3, "", first, ()),
+            peers=(),
+            rng=random.Random(1),
+            now=self.now,
+            timing=TIMING,
+        )
+        self.assertFalse(restarted.hears_quorum(self.now + 0.1))
+
     def test_a_candidate_that_another_voter_answers_hears_a_quorum(self):
         candidate = self.replicas["b"]
         self.now += 1.1
@@ -307,3 +326,78 @@
     def test_a_leader_that_hands_on_leads_no_more(self):
         self.leader.resign(self.now)
         self.assertEqual(0.0, self.leader.leads_until())
+
+
+class NotedPort(ports.ExecutorPort):
+    """Note orders; nothing answers."""
+
+    def __init__(self):
+        self.tokens = set()
+
+    def start(self, order, done):
+        self.tokens.add(order.token)
+
+    def stop(self, order, done):
+        self.tokens.add(order.token)
+
+    def hold(self, order, done):
+        self.tokens.add(order.token)
+
+
+class NoLinks:
+    """Links to nobody."""
+
+    def handle(self, kind, handler):
+        pass
+
+
+class HoldingTokenTest(testtools.TestCase):
+    """A holder's orders go beyond each token that it has heard of."""
+
+    def test_a_standby_follows_a_leader_that_raised_its_token(self):
+        clk = clock.ManualClock()
+        heap = timers.TimerHeap(clk=clk, on_error=self.fail)
+        port = NotedPort()
+        held = holding.Holding(
+            me=ids.InstanceId("10.1.0.2"),
+            heap=heap,
+            links=NoLinks(),
+            port=port,
+            refuse=self.fail,
+            answered=self.fail,
+            stop_s=0.05,
+        )
+        raised = tokens.Fence(1, tokens.LEADER_SIDE).token(3)
+        held.learn_token(raised)
+        report = work.ExecutorReport(
+            id=work.ExecutorId("e"),
+            service=ids.ServiceId("s"),
+            address=addresses.Address("10.0.0.9", 80),
+            zone=ids.ZoneId("north"),
+            room=work.Room(),
+            labels=(),
+            is_draining=False,
+            is_gone=False,
+            remaining_ms=0,
+            clock_ms=1,
+            sequence=1,
+        )
+        held.begin(
+            fence=tokens.Fence(1, tokens.side_of("10.1.0.2")),
+            knows_all_at=0.0,
+            reports=[(clk.now(), report)],
+            may_order=lambda: True,
+        )
+        clk.advance(0.3)
+        heap.run_due()
+        self.assertEqual({held.highest_token}, port.tokens)
+        self.assertGreater(held.highest_token, raised)
+        held.end("another holds")
+        again = held.highest_token
+        held.begin(
+            fence=tokens.Fence(1, tokens.side_of("10.1.0.2")),
+            knows_all_at=0.0,
+            reports=[],
+            may_order=lambda: True,
+        )
+        self.assertGreater(held.highest_token, again)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -7,11 +7,14 @@
 
 from chervilwheel.workers import engine
 from chervilwheel.workers import executors
+from chervilwheel.workers import jobstate
 from chervilwheel.workers import work
 from tests import workerworld
 
 # Schedules of one test; eight tests share them among processes.
 SCHEDULES = 50
+# Each takes some 0.3 s.
+CUT_SCHEDULES = 25
 SECONDS = 12.0
 
 
@@ -179,6 +182,13 @@
         play(seed)
 
 
+@pytest.mark.parametrize("part", range(4))
+def test_both_sides_of_a_cut_keep_the_promises(part):
+    """A second holder takes over what is cut off, then hands it back."""
+    for seed in range(part * CUT_SCHEDULES, (part + 1) * CUT_SCHEDULES):
+        play_cut(seed)
+
+
 class MutantTest(testtools.TestCase):
     """Random faults catch what would break the promises."""
 
@@ -212,10 +222,32 @@
 
         self.assert_caught(Impatient)
 
-    def assert_caught(self, kind):
+    def test_a_second_holder_that_prolongs_all_leases_is_caught(self):
+        self.patch(executors.Executor, "is_owned", True)
+        self.assert_caught(engine.Engine, play_cut)
+
+    def test_a_job_taken_back_without_settling_is_caught(self):
+        self.patch(
+            jobstate.JobState, "settle_again", lambda self, job, now: None
+        )
+        self.assert_caught(engine.Engine, play_cut)
+
+    def test_starts_for_an_entry_host_that_has_gone_over_are_caught(self):
+        self.patch(engine, "ENTRY_QUIET_S", 100.0)
+        self.assert_caught(engine.Engine, play_cut)
+
+    def test_a_run_taken_as_over_while_it_is_stopped_is_caught(self):
+        class Hasty(engine.Engine):
+            def __init__(self, **options):
+                super().__init__(**options, stop_s=0.0)
+
+        self.patch(executors, "LEASE_MARGIN_S", 0.0)
+        self.assert_caught(Hasty)
+
+    def assert_caught(self, kind, playing=None):
         for seed in range(SCHEDULES):
             try:
-                play(seed, kind)
+                (playing or play)(seed, kind)
             except workerworld.InvariantError:
                 return
         self.fail("no schedule caught the mutant")
@@ -259,6 +291,43 @@
         raise AssertionError(f"seed {seed}: no answer for {undecided}")
 
 
+def play_cut(seed, kind=engine.Engine):
+    """Play cuts of some workers and an entry host from the rest."""
+    rng = random.Random(seed)
+    world = workerworld.World(seed=seed, workers=8, engine_kind=kind)
+    world.net.lost_share = rng.choice((0.0, 0.03))
+    far_share = rng.choice((0.5, 0.9))
+    for _ in range(2):
+        submit_for(world, rng, rng.uniform(0.5, 2.0), far_share)
+        far = rng.sample(sorted(world.workers), rng.randint(2, 6))
+        # A standby begins 0.35 s after a cut that it sees at once.
+        wait_s = rng.choice((0.35, rng.uniform(0.35, 1.3)))
+        world.cut_off(far, wait_s=wait_s)
+        submit_for(world, rng, rng.uniform(0.5, 4.0), far_share)
+        world.heal()
+    submit_for(world, rng, 1.0, far_share)
+    world.net.lost_share = 0.0
+    world.run(12.0)
+    undecided = [j for j in world.jobs if j not in world.answers]
+    if undecided:
+        raise AssertionError(f"seed {seed}: no answer for {undecided}")
+
+
+def submit_for(world, rng, seconds, far_share):
+    """Hand jobs in at both entry hosts for a time."""
+    end = world.now + seconds
+    while world.now < end:
+        world.submit(
+            tasks=rng.randint(1, 4),
+            work_s=rng.choice((0.06, 0.2, 0.9, 2.5)),
+            priority=rng.randint(0, 2),
+            entry=workerworld.FAR_ENTRY
+            if rng.random() < far_share
+            else workerworld.ENTRY,
+        )
+        world.run(rng.uniform(0.0, 0.25))
+
+
 def cut(world, rng):
     """Cut a worker off for a while."""
     name = rng.choice(list(world.workers))
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -16,9 +16,15 @@
 
 SERVICE = ids.ServiceId("service")
 ENTRY = ids.InstanceId("entry")
+FAR_ENTRY = ids.InstanceId("far-entry")
 CPU = 32_000
 REPORT_S = 1.5
 TICK_S = 0.02
+# An entry host is lost to a holder after four beats of 0.15 s, looked at
+# once in a beat.
+SILENCE_S = 0.75
+# Leaves room for the tokens of holders without a quorum.
+TERM_STEP = 10
 CALL_TIMEOUT_S = 0.3
 VERDICTS = {
     workermodel.Verdict.OK: work.StartVerdict.STARTED,
@@ -33,6 +39,8 @@
     "stopped": work.EndKind.STOPPED,
     "lapsed": work.EndKind.LAPSED,
 }
+# A worker that stops a run may take so long (the platform's bound).
+STOP_S = 0.05
 
 
 class InvariantError(AssertionError):
@@ -47,10 +55,12 @@
         self.lost_share = 0.0
         self.late_share = 0.0
         self.cut = set()
+        # The workers that a second holder can't reach, by engine.
+        self.far_cut = {}
 
-    def fate(self, worker):
+    def fate(self, worker, decider=None):
         """Return ('ok' | 'lost' | 'late', delay) of an order."""
-        if worker in self.cut:
+        if worker in self.far_cut.get(decider, self.cut):
             return "lost", 0.0
         draw = self.rng.random()
         if draw < self.late_share:
@@ -61,7 +71,7 @@
 
 
 class World:
-    """Workers, one engine at a time, and an entry host.
+    """Workers, an engine, an entry host; a second of both in a cut.
 
     :param seed: the schedule's seed
     :param workers: how many
@@ -77,10 +87,14 @@
         self.net = Network(rng=self.rng)
         self.answers = {}
         self.jobs = {}
+        self.entry_of = {}
         self.works = {}
         self.arrived = {}
         self.workers = {}
         self.engine = None
+        self.far = None
+        self.entries = {}
+        self.heard = {}
         self._engine_kind = engine_kind
         self._heap = []
         self._order = itertools.count()
@@ -98,6 +112,7 @@
         name = work.ExecutorId(f"x{next(self._names)}")
         options.setdefault("cpu", self._cpu)
         options.setdefault("clock_rate", self.rng.uniform(0.98, 1.0))
+        options.setdefault("stop_s", self.rng.uniform(0.0, STOP_S))
         model = workermodel.WorkerModel(now=self.now - 5.0, **options)
         self.workers[name] = model
         self.at(self.rng.uniform(0, 0.1), lambda: self._report(name))
@@ -121,22 +136,72 @@
 
     def switch_holder(self, *, knows_all=False):
         """Put a new engine with a higher token in the place of the old."""
-        self._term += 1
+        self._term += TERM_STEP
         self.engine = self._engine_kind(
             token=self._term,
             now=self.now,
             knows_all_at=self.now + (0.0 if knows_all else 3.0),
         )
+        self._tell_all(self.engine)
+        for job_id in self.jobs:
+            if job_id not in self.answers:
+                self._offer_again(job_id, self.engine)
+        self._pump(self.engine)
+
+    def cut_off(self, names, *, wait_s):
+        """Cut some workers and an entry host off.
+
+        :param names: the workers on the far side
+        :param wait_s: time until a second holder begins there
+        """
+        self.net.cut = set(names)
+        self.entries[FAR_ENTRY] = None
+        self.at(wait_s, lambda: self._begin_far(names))
+
+    def _begin_far(self, names):
+        if not self.net.cut:
+            return
+        self.far = self._engine_kind(
+            token=self._term + 1, now=self.now, knows_all_at=self.now
+        )
+        self.net.far_cut[self.far] = set(self.workers) - set(names)
+        self.entries[FAR_ENTRY] = self.far
+        self._tell_all(self.far)
+        self._move_far_jobs(self.far)
+
+    def heal(self):
+        """Join both sides; the engine with the higher claim goes on."""
+        former, self.far = self.far, None
+        self.net.cut = set()
+        self.entries[FAR_ENTRY] = self.engine
+        if former is not None:
+            self.net.far_cut.clear()
+            self._term += 2
+            self.engine.raise_token(self._term, self.now)
+        self._move_far_jobs(self.engine, is_from_standby=True)
+
+    def _move_far_jobs(self, decider, *, is_from_standby=False):
+        for job_id, entry in self.entry_of.items():
+            if entry == FAR_ENTRY and job_id not in self.answers:
+                self._offer_again(
+                    job_id, decider, is_from_standby=is_from_standby
+                )
+        self._pump(decider)
+
+    def _offer_again(self, job_id, decider, *, is_from_standby=False):
+        job = self.jobs[job_id]
+        job = job._replace(
+            offers=job.offers + 1,
+            is_from_standby=job.is_from_standby or is_from_standby,
+        )
+        self.jobs[job_id] = job
+        decider.offer(job, self.entry_of[job_id], self.now)
+
+    def _tell_all(self, decider):
         for name in list(self.workers):
             if self.workers[name].is_up:
                 # Other control hosts passed its reports on before.
-                self._tell(name, self.engine, is_known=True)
-        for job_id, job in list(self.jobs.items()):
-            if job_id not in self.answers:
-                job = job._replace(offers=job.offers + 1)
-                self.jobs[job_id] = job
-                self.engine.offer(job, ENTRY, self.now)
-        self._pump(self.engine)
+                self._tell(name, decider, is_known=True)
 
     def submit(
         self,
@@ -149,8 +214,12 @@
         attempts=3,
         target_ms=60,
         steps=None,
+        entry=ENTRY,
     ):
-        """Hand a job in; returns its id."""
+        """Hand a job in; returns its id, None when nobody takes it."""
+        decider = self.entries.get(entry, self.engine)
+        if decider is None:
+            return None
         job_id = ids.JobId(f"{len(self.jobs):016x}")
         guess_ms = int((estimated_s or work_s) * 1000)
         if steps is None:
@@ -170,8 +239,9 @@
         self.jobs[job_id] = job
         self.works[job_id] = work_s
         self.arrived[job_id] = self.now
-        self.engine.offer(job, ENTRY, self.now)
-        self._pump(self.engine)
+        self.entry_of[job_id] = entry
+        decider.offer(job, entry, self.now)
+        self._pump(decider)
         return job_id
 
     def cancel(self, job_id):
@@ -205,20 +275,40 @@
                 seen[task] = name
 
     def _tick(self):
-        self.engine.tick(self.now)
-        self._pump(self.engine)
+        self._beat()
+        for decider in (self.engine, self.far):
+            if decider is not None:
+                decider.tick(self.now)
+                self._pump(decider)
         self.at(TICK_S, self._tick)
 
+    def _beat(self):
+        """Have entry hosts beat; a holder loses those that are silent."""
+        for entry in (ENTRY, FAR_ENTRY):
+            decider = self.entries.get(entry, self.engine)
+            if decider is not None:
+                decider.hear_entry(entry, self.now)
+                self.heard[entry, decider] = self.now
+            for (name, other), at in list(self.heard.items()):
+                is_live = other in (self.engine, self.far)
+                if name == entry and self.now - at > SILENCE_S and is_live:
+                    del self.heard[name, other]
+                    other.lose_entry(name, self.now)
+                    self._pump(other)
+
     def _report(self, name):
         model = self.workers[name]
         if not model.is_up:
             return
-        self._tell(name, self.engine)
+        for decider in (self.engine, self.far):
+            if decider is not None:
+                self._tell(name, decider)
         self.at(REPORT_S, lambda: self._report(name))
 
     def _tell(self, name, decider, *, is_known=False):
         model = self.workers[name]
-        if name in self.net.cut and not is_known:
+        cut = self.net.far_cut.get(decider, self.net.cut)
+        if name in cut and not is_known:
             return
         report = work.ExecutorReport(
             id=name,
@@ -251,12 +341,15 @@
 
     def _carry_out(self, decider, action):
         if isinstance(action, work.Answer):
-            if decider is self.engine and action.job not in self.answers:
+            follows = self.entries.get(
+                self.entry_of.get(action.job), self.engine
+            )
+            if decider is follows and action.job not in self.answers:
                 self.answers[action.job] = (self.now, action)
             return
-        if decider is not self.engine:
+        if not self._is_live(decider):
             return
-        fate, delay = self.net.fate(action.executor)
+        fate, delay = self.net.fate(action.executor, decider)
         if isinstance(action, work.StartOrder):
             self._send_start(decider, action, fate, delay)
         elif isinstance(action, work.HoldOrder):
@@ -264,6 +357,9 @@
         elif fate != "lost":
             self.at(delay, lambda: self._do_stop(action))
 
+    def _is_live(self, decider):
+        return decider is self.engine or decider is self.far
+
     def _send_start(self, decider, order, fate, delay):
         heard = []
 
@@ -278,7 +374,7 @@
             if heard:
                 return
             heard.append(verdict)
-            if decider is self.engine:
+            if self._is_live(decider):
                 decider.started(order, verdict, clock_ms, self.now)
                 self._pump(decider)
 
@@ -325,7 +421,7 @@
             if heard:
                 return
             heard.append(answer)
-            if decider is self.engine:
+            if self._is_live(decider):
                 decider.held(order, answer, sent_at, self.now)
                 self._pump(decider)
 
