chervilwheel explain: a request's story from the logs of many processes

OPERATIONS.md had a gap: no line tied a job to the executor that failed it, and an engineer had to grep several logs and sort them by hand. Now the engine says which run of which task ended badly where, and `chervilwheel explain ID FILE...` puts the lines about a request, about the executors that they name and about changes of the holder in order of time. Ruled out: a line for each start (250 a second; the limit is 400 lines a second a process).

--- a/chervilwheel/commands.py
+++ b/chervilwheel/commands.py
@@ -14,6 +14,7 @@
 from chervilwheel import datacommands as data
 from chervilwheel import errors
 from chervilwheel import jobcommands as jobs
+from chervilwheel import logcommands
 from chervilwheel import output
 from chervilwheel import settingscommands as settings
 
@@ -97,6 +98,7 @@
         | cluster.Metrics
         | cluster.Health
         | Data
+        | logcommands.Explain
     ]
 
 
--- /dev/null
+++ b/chervilwheel/explanation.py
@@ -0,0 +1,118 @@
+"""Put together what processes logged about one request."""
+
+import json
+import pathlib
+import typing
+
+from chervilwheel import errors
+
+# An executor's own trouble shows up to a lease, 0.7 s, and a call's
+# timeout before the request that it spoils.
+AROUND_S = 2.0
+# Fields that every line has.
+_COMMON = ("at", "level", "part", "message", "instance")
+
+Row = dict[str, typing.Any]
+
+
+class Explanation(typing.NamedTuple):
+    """Lines about a request, in order of time.
+
+    :ivar rows: each with ``at``, ``instance``, ``message``, ``about``
+        (request, executor or belief) and its other fields
+    :ivar unreadable: lines that hold no JSON object
+    """
+
+    rows: list[Row]
+    unreadable: int
+
+
+def explain(request: str, files: typing.Sequence[pathlib.Path]) -> Explanation:
+    """Find the lines about a request, and what bears on them.
+
+    Besides the lines that name the request there are those about the
+    executors that these name, and what their processes came to believe of
+    the holder meanwhile. Times are of the wall clock of each process.
+
+    :param request: the id of a job
+    :param files: logs, one JSON object a line; what a collector wrote
+        before it is passed over
+    :raises errors.ChervilwheelError: when a file can't be read
+    """
+    rows: list[Row] = []
+    unreadable = 0
+    for path in files:
+        for line in _lines(path):
+            row = _read(line)
+            if row is None:
+                unreadable += bool(line.strip())
+            else:
+                rows.append(row)
+    rows.sort(key=lambda row: str(row.get("at", "")))
+    found = [row for row in rows if _names(row, request)]
+    if not found:
+        return Explanation([], unreadable)
+    own = {id(row) for row in found}
+    executors = {row["executor"] for row in found if "executor" in row}
+    span = (_seconds(found[0]) - AROUND_S, _seconds(found[-1]) + AROUND_S)
+    told = []
+    for row in rows:
+        about = "request" if id(row) in own else _bearing(row, executors)
+        is_near = span[0] <= _seconds(row) <= span[1]
+        if about and (id(row) in own or is_near):
+            told.append(_tell(row, about))
+    return Explanation(told, unreadable)
+
+
+def _lines(path: pathlib.Path) -> list[str]:
+    try:
+        return path.read_text(errors="replace").splitlines()
+    except OSError as exc:
+        raise errors.StorageError(f"{path}: {exc.strerror}") from exc
+
+
+def _read(line: str) -> Row | None:
+    place = line.find("{")
+    if place < 0:
+        return None
+    try:
+        row = json.loads(line[place:])
+    except ValueError:
+        return None
+    return row if isinstance(row, dict) and "message" in row else None
+
+
+def _names(row: Row, request: str) -> bool:
+    """Whether a line is about a request: its job, or a task of it."""
+    task = row.get("task")
+    of_task = task[0] if isinstance(task, list) and task else None
+    return request in (row.get("job"), of_task)
+
+
+def _bearing(row: Row, executors: set[typing.Any]) -> str:
+    """Tell what else a line is about, empty for nothing of interest."""
+    if "executor" in row and "job" not in row and "task" not in row:
+        return "executor" if row["executor"] in executors else ""
+    is_belief = row.get("part") in ("holding", "holder", "entry", "keeper")
+    return "belief" if is_belief and "job" not in row else ""
+
+
+def _seconds(row: Row) -> float:
+    """Read the time of day of a line, seconds; 0 when it has none."""
+    clock = str(row.get("at", "")).rpartition(" ")[2].replace(",", ".")
+    try:
+        hours, minutes, seconds = clock.split(":")
+        return int(hours) * 3600 + int(minutes) * 60 + float(seconds)
+    except ValueError:
+        return 0.0
+
+
+def _tell(row: Row, about: str) -> Row:
+    rest = {key: row[key] for key in row if key not in _COMMON}
+    return {
+        "at": row.get("at", ""),
+        "instance": row.get("instance", ""),
+        "about": about,
+        "message": row["message"],
+        "fields": rest,
+    }
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -464,6 +464,16 @@
                 state.unsettled -= 1
                 self._task_done(state, end.task, now)
             return
+        _LOG.info(
+            "engine: a run ended and its task is not done",
+            extra={
+                "task": end.task,
+                "run": run.number,
+                "executor": known.id,
+                "how": end.kind.value,
+                "ran_s": round(now - run.ordered_at, 3),
+            },
+        )
         if end.kind is work.EndKind.FAILED:
             self._blame(known, now)
         self._again(run, now)
