Load tool: a caller that hears nothing sends again elsewhere

Cause: the comment says "the same key again, elsewhere", but each send drew from all instances, the dead one among them. A second run with every send noted: each of the 17 submissions that were never answered met entry-2 five times out of five, refused at connecting within 49 ms. Ruled out: losses in the ledger or the entry hosts (no send of theirs had reached a process).

Change: a resend passes over instances that gave this caller no answer; all silent ones are tried again once none is left.

--- a/loadtool/drive.py
+++ b/loadtool/drive.py
@@ -190,9 +190,11 @@
             table["service"] = cluster.SERVICE
             table["tasks"] = [{"payload": each} for each in payloads]
         reply = client.Reply(0, {})
+        silent: set[str] = set()
         for _ in range(MOST_SENDS):
+            node = self._pick(avoid=silent)
             reply = await self._client.post(
-                self._pick().http,
+                node.http,
                 path,
                 table,
                 token=layout.TEAM_TOKEN,
@@ -204,6 +206,7 @@
             if reply.status or not may_resend:
                 break
             # As a caller would: the same key again, elsewhere.
+            silent.add(node.name)
             await asyncio.sleep(RESEND_S)
         return reply
 
@@ -217,7 +220,11 @@
             timeout_s=10.0,
         )
 
-    def _pick(self) -> layout.Node:
-        """Choose an entry instance as the balancer would."""
-        nodes = [n for n in self._target.entries if n.name not in self.down]
-        return self._rng.choice(nodes or self._target.entries)
+    def _pick(self, *, avoid: typing.Collection[str] = ()) -> layout.Node:
+        """Choose an entry instance as the balancer would.
+
+        :param avoid: names of instances that didn't answer this caller
+        """
+        up = [n for n in self._target.entries if n.name not in self.down]
+        nodes = [n for n in up if n.name not in avoid]
+        return self._rng.choice(nodes or up or self._target.entries)
