One reader of HTTP answers for calls, the HTTP client and the load tool

Three copies of the same parser around httptools (calls.py, http/client.py, loadtool/client.py) had drifted: only calls.py called an answer broken that is followed by more bytes, and the load tool had no limit on a body. http/answers.py is the one reader; calls.py adds what its headers mean. test_answers reads pieces, closes, no HTTP, a large body, bytes after it. Ruled out: a library's client (asyncio, or threads, beside the one loop).

--- a/chervilwheel/calls.py
+++ b/chervilwheel/calls.py
@@ -5,12 +5,11 @@
 import logging
 import typing
 
-import httptools
-
 from chervilwheel import addresses
 from chervilwheel import ids
 from chervilwheel import streams
 from chervilwheel import timers
+from chervilwheel.http import answers
 
 _LOG = logging.getLogger("calls")
 JOB_HEADER = "X-Chervilwheel-Job"
@@ -149,13 +148,13 @@
         self._call: Call | None = None
         self._done: Done | None = None
         self._timers: list[timers.Timer] = []
-        self._answer: _AnswerReader | None = None
+        self._answer: _TaskAnswer | None = None
         self._is_starting = False
 
     def run(self, call: Call, done: Done) -> None:
         self._call = call
         self._done = done
-        self._answer = _AnswerReader(limit=self._owner.answer_bytes)
+        self._answer = _TaskAnswer(limit=self._owner.answer_bytes)
         self._is_starting = True
         heap = self._owner.heap
         self._timers = [heap.call_later(call.timeout_s, self._on_timeout)]
@@ -185,7 +184,7 @@
         elif self._answer.is_whole:
             self._judge(self._answer)
 
-    def _judge(self, answer: "_AnswerReader") -> None:
+    def _judge(self, answer: "_TaskAnswer") -> None:
         call = self._call
         if answer.is_refusal:
             self._end(CallOutcome.REFUSED, detail="refused before start")
@@ -243,60 +242,24 @@
         self._timers = []
 
 
-class _AnswerReader:
-    """Parse one HTTP answer."""
-
-    def __init__(self, *, limit: int) -> None:
-        self._parser = httptools.HttpResponseParser(self)
-        self._limit = limit
-        self._headers: dict[str, str] = {}
-        self.body = bytearray()
-        self.is_whole = False
-        self.is_broken = False
-        self.keeps_alive = False
-
-    @property
-    def status(self) -> int:
-        return self._parser.get_status_code()
+class _TaskAnswer(answers.AnswerReader):
+    """An endpoint's answer to an attempt."""
 
     @property
     def is_refusal(self) -> bool:
         return (
             self.status == HTTP_UNAVAILABLE
-            and NOT_STARTED_HEADER.lower() in self._headers
+            and NOT_STARTED_HEADER.lower() in self.headers
         )
 
     def belongs_to(self, call: Call) -> bool:
         named = (
-            self._headers.get(JOB_HEADER.lower()),
-            self._headers.get(TASK_HEADER.lower()),
-            self._headers.get(ATTEMPT_HEADER.lower()),
+            self.headers.get(JOB_HEADER.lower()),
+            self.headers.get(TASK_HEADER.lower()),
+            self.headers.get(ATTEMPT_HEADER.lower()),
         )
         return named == (call.job, str(call.task), str(call.attempt))
 
-    def feed(self, data: bytes) -> None:
-        if self.is_whole:
-            self.is_broken = True
-            return
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.is_broken = True
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        key = name.decode("latin-1").lower()
-        self._headers[key] = value.decode("latin-1")
-
-    def on_body(self, body: bytes) -> None:
-        self.body += body
-        if len(self.body) > self._limit:
-            self.is_broken = True
-            self.body.clear()
-
-    def on_message_complete(self) -> None:
-        self.is_whole = True
-        self.keeps_alive = self._parser.should_keep_alive()
-
 
 def _encode(call: Call) -> bytes:
     head = (
--- a/chervilwheel/http/client.py
+++ b/chervilwheel/http/client.py
@@ -5,11 +5,10 @@
 import logging
 import typing
 
-import httptools
-
 from chervilwheel import addresses
 from chervilwheel import streams
 from chervilwheel import timers
+from chervilwheel.http import answers
 
 _LOG = logging.getLogger("http")
 CONNECT_TIMEOUT_S = 0.5
@@ -134,7 +133,7 @@
         self._heap = pool.owner.heap
         self._call: _Call | None = None
         self._timers: list[timers.Timer] = []
-        self._answer = _AnswerReader()
+        self._answer = answers.AnswerReader(limit=MAX_ANSWER_BYTES)
         self._idle_since = 0.0
         self._is_closed = False
         self._stream = pool.owner.loop.connect(pool.address)
@@ -147,7 +146,7 @@
 
     def run(self, call: _Call) -> None:
         self._call = call
-        self._answer = _AnswerReader()
+        self._answer = answers.AnswerReader(limit=MAX_ANSWER_BYTES)
         self._timers = [
             self._heap.call_later(call.timeout_s, self._on_timeout)
         ]
@@ -217,34 +216,3 @@
             self.close()
         if call is not None:
             call.done(answer)
-
-
-class _AnswerReader:
-    """Parse one answer."""
-
-    def __init__(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
-        self.body = bytearray()
-        self.is_whole = False
-        self.is_broken = False
-        self.keeps_alive = False
-
-    @property
-    def status(self) -> int:
-        return self._parser.get_status_code()
-
-    def feed(self, data: bytes) -> None:
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.is_broken = True
-
-    def on_body(self, body: bytes) -> None:
-        self.body += body
-        if len(self.body) > MAX_ANSWER_BYTES:
-            self.is_broken = True
-            self.body.clear()
-
-    def on_message_complete(self) -> None:
-        self.is_whole = True
-        self.keeps_alive = self._parser.should_keep_alive()
--- a/loadtool/client.py
+++ b/loadtool/client.py
@@ -5,7 +5,10 @@
 import json
 import typing
 
-import httptools
+from chervilwheel.http import answers
+
+# A job of 150 tasks with large results.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
 class Reply(typing.NamedTuple):
@@ -15,23 +18,6 @@
     table: dict[str, typing.Any]
 
 
-class _Parser:
-    """Collect one response."""
-
-    def __init__(self) -> None:
-        self.body = bytearray()
-        self.is_whole = False
-        self.keeps_alive = False
-        self.parser = httptools.HttpResponseParser(self)
-
-    def on_body(self, body: bytes) -> None:
-        self.body += body
-
-    def on_message_complete(self) -> None:
-        self.is_whole = True
-        self.keeps_alive = self.parser.should_keep_alive()
-
-
 class Client:
     """Keep connections to the entry instances and post requests."""
 
@@ -70,21 +56,22 @@
         reader, writer = await self._take(address)
         try:
             writer.write(data)
-            parser = _Parser()
-            while not parser.is_whole:
+            answer = answers.AnswerReader(limit=MAX_ANSWER_BYTES)
+            while not answer.is_whole:
                 chunk = await reader.read(262_144)
                 if not chunk:
                     raise EOFError("closed")
-                parser.parser.feed_data(chunk)
+                answer.feed(chunk)
+                if answer.is_broken:
+                    raise EOFError("not an answer")
         except BaseException:
             writer.close()
             raise
-        if parser.keeps_alive:
+        if answer.keeps_alive:
             self._idle[address].append((reader, writer))
         else:
             writer.close()
-        status = parser.parser.get_status_code()
-        return Reply(status, json.loads(bytes(parser.body)))
+        return Reply(answer.status, json.loads(bytes(answer.body)))
 
     async def _take(self, address: str) -> typing.Any:
         idle = self._idle.setdefault(address, collections.deque())
