--- a/chervilwheel/control/entrydrain.py
+++ b/chervilwheel/control/entrydrain.py
@@ -40,7 +40,7 @@
             return
         self._entry.drain = entryhost.Drain.LEAVING
         self._begun_at = self._node.heap.clock.now()
-        _LOG.info("drain: begun", extra={"running": self._entry.running})
+        _LOG.info("drain: begun", extra={"running": len(self._entry.jobs)})
         self._node.heap.call_later(NOTICE_S, self._poll)
 
     def _poll(self) -> None:
