--- a/chervilwheel/replica.py
+++ b/chervilwheel/replica.py
@@ -10,6 +10,8 @@
 import random
 import typing
 
+from chervilwheel import _followers
+from chervilwheel import _incoming
 from chervilwheel import _replicalog
 from chervilwheel import errors
 from chervilwheel import ids
@@ -58,19 +60,6 @@
     election_s: float = 1.0
 
 
-class _Progress:
-    """What the leader knows of another member."""
-
-    __slots__ = ("match", "next", "heard_at", "answered", "snapshot_offset")
-
-    def __init__(self, *, next_index: int, now: float) -> None:
-        self.match = 0
-        self.next = next_index
-        self.heard_at = now
-        self.answered = 0.0
-        self.snapshot_offset = -1
-
-
 class Replica:
     """One member of one group.
 
@@ -117,13 +106,12 @@
         self._handed_out = self.commit
         self._durable = self.log.last_index
         self._votes: set[Member] = set()
-        self._progress: dict[Member, _Progress] = {}
+        self._followers = _followers.Followers(me=me)
         self._heard_leader_at = now - timing.election_s
         if restored.term:
             # It may have heard a leader just before its restart.
             self._heard_leader_at = now
-        self._incoming = bytearray()
-        self._incoming_from: tuple[int, int] = (0, 0)
+        self._incoming = _incoming.IncomingSnapshot()
         self._joins_at = now
         self._beats_at = now
         self._is_transfer = False
@@ -151,12 +139,7 @@
         if not self.is_leader:
             return False
         limit_s = ANSWERING_BEATS * self._timing.heartbeat_s
-        answering = [
-            member
-            for member, progress in self._progress.items()
-            if now - progress.heard_at <= limit_s
-        ]
-        return self._is_quorum(answering)
+        return self._is_quorum(self._followers.heard(now, within_s=limit_s))
 
     def leads_until(self) -> float:
         """Tell until when no other can have been elected, seconds.
@@ -167,19 +150,8 @@
         is_new = self.log.term_at(self.commit) != self.term
         if not self.is_leader or is_new or self._transferred == self.term:
             return 0.0
-        stamps = [
-            math.inf
-            if member == self.me
-            else self._progress[member].answered
-            if member in self._progress
-            else 0.0
-            for member in self.config.voters
-        ]
-        stamps.sort(reverse=True)
-        quorum = len(stamps) // 2
-        if stamps[quorum] == math.inf:
-            return math.inf
-        return stamps[quorum] + LEASE_SHARE * self._timing.election_s
+        answered = self._followers.answered(self.config.voters)
+        return answered + LEASE_SHARE * self._timing.election_s
 
     def hears_quorum(self, now: float) -> bool:
         """Whether a leader stands or can be elected, as far as seen here.
@@ -421,9 +393,9 @@
     def _lead(self, now: float) -> None:
         self.role = Role.LEADER
         self.leader = self.me
-        self._progress = {}
+        self._followers.clear()
         self._append(EntryKind.NOOP)
-        self._refresh_progress(now)
+        self._refresh_followers(now)
         self._broadcast(now)
 
     def _follow(self, term: int, leader: Member | None, now: float) -> None:
@@ -468,24 +440,20 @@
         if entry.kind is EntryKind.CONFIG or was_config:
             self._config_index, self.config = self.log.config()
 
-    def _refresh_progress(self, now: float) -> None:
-        members = [m for m in self.config.members if m != self.me]
-        for member in members:
-            if member not in self._progress:
-                self._progress[member] = _Progress(
-                    next_index=self.log.last_index, now=now
-                )
-        for member in list(self._progress):
-            if member not in members:
-                del self._progress[member]
+    def _refresh_followers(self, now: float) -> None:
+        self._followers.refresh(
+            self.config.members, next_index=self.log.last_index, now=now
+        )
 
     def _broadcast(self, now: float) -> None:
-        self._refresh_progress(now)
-        for member, progress in self._progress.items():
+        self._refresh_followers(now)
+        for member, progress in self._followers.items():
             self._send_entries(member, progress)
         self._beats_at = now + self._timing.heartbeat_s
 
-    def _send_entries(self, member: Member, progress: _Progress) -> None:
+    def _send_entries(
+        self, member: Member, progress: _followers.Follower
+    ) -> None:
         if progress.next <= self.log.snapshot.index:
             if progress.snapshot_offset < 0:
                 progress.snapshot_offset = 0
@@ -508,7 +476,9 @@
         progress.next += len(entries)
         self._early(request)
 
-    def _send_chunk(self, member: Member, progress: _Progress) -> None:
+    def _send_chunk(
+        self, member: Member, progress: _followers.Follower
+    ) -> None:
         snapshot = self.log.snapshot
         offset = min(progress.snapshot_offset, len(snapshot.data))
         data = snapshot.data[offset : offset + CHUNK_BYTES]
@@ -527,7 +497,7 @@
         self._early(chunk)
 
     def _on_append_reply(self, message: AppendReply, now: float) -> None:
-        progress = self._progress.get(message.sender)
+        progress = self._followers.get(message.sender)
         if not self.is_leader or message.term != self.term or progress is None:
             return
         progress.heard_at = now
@@ -548,7 +518,7 @@
         self._tend_learner(message.sender, progress, now)
 
     def _on_chunk_reply(
-        self, message: AppendReply, progress: _Progress
+        self, message: AppendReply, progress: _followers.Follower
     ) -> None:
         if message.is_accepted:
             progress.snapshot_offset = -1
@@ -559,17 +529,7 @@
         self._send_entries(message.sender, progress)
 
     def _advance_commit(self) -> None:
-        matches = []
-        for member in self.config.voters:
-            if member == self.me:
-                matches.append(self._durable)
-            else:
-                progress = self._progress.get(member)
-                matches.append(progress.match if progress else 0)
-        if not matches:
-            return
-        matches.sort(reverse=True)
-        agreed = matches[len(matches) // 2]
+        agreed = self._followers.agreed(self.config.voters, self._durable)
         if agreed > self.commit and self.log.term_at(agreed) == self.term:
             self.commit = agreed
             self._after_commit()
@@ -580,10 +540,8 @@
             self.leader = None
 
     def _tick_leader(self, now: float) -> None:
-        recent = {self.me}
-        for member, progress in self._progress.items():
-            if now - progress.heard_at < self._timing.election_s:
-                recent.add(member)
+        within_s = self._timing.election_s
+        recent = {self.me, *self._followers.heard(now, within_s=within_s)}
         if not self._is_quorum(recent):
             self._follow(self.term, None, now)
             return
@@ -596,14 +554,8 @@
     def _transfer(
         self, candidates: typing.Sequence[Member], now: float
     ) -> None:
-        ready = [
-            member
-            for member in candidates
-            if member in self._progress
-            and self._progress[member].match == self.log.last_index
-        ]
-        if ready:
-            target = max(ready, key=lambda m: self._progress[m].heard_at)
+        target = self._followers.furthest(candidates, self.log.last_index)
+        if target is not None:
             self._transferred = self.term
             self._early(Campaign(self.group, target, self.me, self.term))
 
@@ -645,7 +597,7 @@
         self.change_config(GroupConfig(voters, learners), now)
 
     def _tend_learner(
-        self, member: Member, progress: _Progress, now: float
+        self, member: Member, progress: _followers.Follower, now: float
     ) -> None:
         config = self.config
         if member not in config.learners or not self._may_change_config():
@@ -661,12 +613,8 @@
 
     def _replace_silent(self, config: GroupConfig, now: float) -> None:
         """Take the vote of a voter that has been silent for long."""
-        silent = [
-            member
-            for member in config.voters
-            if member != self.me
-            and now - self._progress[member].heard_at > SILENT_S
-        ]
+        heard = self._followers.heard(now, within_s=SILENT_S)
+        silent = [m for m in config.voters if m not in (self.me, *heard)]
         if not silent:
             return
         voters = tuple(m for m in config.voters if m != silent[0])
@@ -726,26 +674,14 @@
         if message.last_index <= self.commit:
             self._reply_append(message.sender, True, self.commit)
             return
-        source = (message.last_index, message.last_term)
-        if message.offset == 0 or source != self._incoming_from:
-            self._incoming = bytearray()
-            self._incoming_from = source
-        if message.offset == len(self._incoming):
-            self._incoming += message.data
-            if message.is_last:
-                self._install(message)
-                self._reply_append(message.sender, True, message.last_index)
-                return
-        self._reply_append(message.sender, False, len(self._incoming))
-
-    def _install(self, message: SnapshotChunk) -> None:
-        snapshot = Snapshot(
-            message.last_index,
-            message.last_term,
-            message.config,
-            bytes(self._incoming),
-        )
-        self._incoming = bytearray()
+        snapshot = self._incoming.add(message)
+        if snapshot is None:
+            self._reply_append(message.sender, False, self._incoming.size)
+            return
+        self._install(snapshot)
+        self._reply_append(message.sender, True, snapshot.index)
+
+    def _install(self, snapshot: Snapshot) -> None:
         self.log.restart(snapshot)
         self._actions.entries = []
         self._actions.install = snapshot
