Measure loop turns, processor time, messages by kind and free room

The logs could not tell the hypotheses apart: neither the time a turn of the loop takes, nor messages by kind, nor the room that was free when a job was refused was recorded.

Each process of the platform now logs 'runtime: load' every 5 s and serves loop_turn_ms, cpu_s, peer_links, peer_sent_KIND, peer_received_KIND and, at the holder, start orders by result. 'engine: a job is refused' has 'fit', the executors with room for a task of the job.

--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -197,6 +197,10 @@
             "waiting": sum(job_engine.waiting_by_queue().values()),
             "starts_total": job_engine.starts,
             "refusals_total": job_engine.refusals,
+            **{
+                f"start_verdict_{name}": count
+                for name, count in job_engine.verdicts.items()
+            },
         }
 
     def send_status(self, status: messages.ControlNews) -> None:
--- a/chervilwheel/control/runtime.py
+++ b/chervilwheel/control/runtime.py
@@ -1,10 +1,12 @@
 """The event loop of a control host or an entry host and its services."""
 
+import collections
 import contextlib
 import gc
 import hashlib
 import logging
 import signal
+import time
 import typing
 
 import circuits
@@ -13,6 +15,7 @@
 from chervilwheel import clock
 from chervilwheel import guard
 from chervilwheel import ids
+from chervilwheel import loopload
 from chervilwheel import metrics
 from chervilwheel import peers
 from chervilwheel import streams
@@ -25,6 +28,7 @@
 PEER_HEARTBEAT_S = 0.3
 PEER_SILENCE_S = 0.9
 SIGNAL_POLL_S = 0.1
+LOAD_INTERVAL_S = 5.0
 METRICS_LIMITS = guard.Limits(header_bytes=8_192, body_bytes=1_024)
 # Most objects are short-lived, and full collections would only traverse
 # long-lived ones, so the thresholds make them rare.
@@ -43,7 +47,12 @@
         super().__init__()
         self.cfg = cfg
         self.heap = timers.TimerHeap(clk=clock.SystemClock())
-        self.loop = streams.StreamLoop().register(self)
+        self.metrics = metrics.Registry()
+        self._load = loopload.LoopLoad(
+            clk=self.heap.clock,
+            histogram=self.metrics.create_histogram("loop_turn_ms"),
+        )
+        self.loop = streams.StreamLoop(load=self._load).register(self)
         timers.TimerLoop(heap=self.heap).register(self)
         self.links = peers.Peers(
             name=cfg.id,
@@ -54,16 +63,18 @@
             heartbeat_s=PEER_HEARTBEAT_S,
             receive_timeout_s=PEER_SILENCE_S,
         )
-        self.metrics = metrics.Registry()
-        self.metrics.register("peer_bytes_sent", lambda: self.links.bytes_sent)
+        self._register_metrics()
         self.on_stop: typing.Callable[[], None] = self.stop
         self.on_reload: typing.Callable[[], None] = lambda: None
         self._signals: list[int] = []
+        self._last_sent: collections.Counter[str] = collections.Counter()
+        self._last_received: collections.Counter[str] = collections.Counter()
         self._stack = contextlib.ExitStack()
         self._stack.callback(self.loop.close)
         self._stack.callback(self.links.close)
         signal.signal(signal.SIGHUP, self._on_signal)
         self.heap.call_every(SIGNAL_POLL_S, self._process_signals)
+        self.heap.call_every(LOAD_INTERVAL_S, self._log_load)
 
     def add_host(self, host: str) -> ids.InstanceId:
         """Add a host by its IP address to the peers and return its name."""
@@ -87,6 +98,34 @@
             self.run()
         _LOG.info("runtime: ended")
 
+    def _register_metrics(self) -> None:
+        links = self.links
+        self.metrics.register("peer_bytes_sent", lambda: links.bytes_sent)
+        self.metrics.register("peer_links", lambda: links.link_count)
+        self.metrics.register_table("peer_sent_", lambda: links.sent_by_kind)
+        self.metrics.register_table(
+            "peer_received_", lambda: links.received_by_kind
+        )
+        self.metrics.register("cpu_s", time.process_time)
+
+    def _log_load(self) -> None:
+        load = self._load.report()
+        sent = collections.Counter(self.links.sent_by_kind)
+        received = collections.Counter(self.links.received_by_kind)
+        _LOG.info(
+            "runtime: load",
+            extra={
+                "turns": load.turns,
+                "busy_s": round(load.busy_s, 3),
+                "longest_turn_ms": round(load.longest_turn_s * 1000, 1),
+                "cpu_s": round(load.cpu_s, 3),
+                "links": self.links.link_count,
+                "sent": dict(sent - self._last_sent),
+                "received": dict(received - self._last_received),
+            },
+        )
+        self._last_sent, self._last_received = sent, received
+
     def _serve_metrics(self) -> None:
         def answer(exchange: server.Exchange) -> None:
             body = self.metrics.render().encode()
--- a/chervilwheel/peers.py
+++ b/chervilwheel/peers.py
@@ -4,6 +4,7 @@
 Replies go back over the link on which the request arrived.
 """
 
+import collections
 import hmac
 import logging
 import secrets
@@ -83,6 +84,7 @@
         data = messages.CODEC.encode(message)
         self._owner.bytes_sent += len(data) + _LENGTH.size
         self._owner.messages_sent += 1
+        self._owner.sent_by_kind[type(message).__name__] += 1
         self._stream.send(_LENGTH.pack(len(data)) + data)
 
     def _on_data(self, data: bytes) -> None:
@@ -116,6 +118,7 @@
             yield messages.CODEC.decode(data)
 
     def _handle_message(self, message: typing.Any) -> None:
+        self._owner.received_by_kind[type(message).__name__] += 1
         if not self.is_authenticated:
             self._handle_handshake(message)
         elif isinstance(message, messages.Heartbeat):
@@ -211,6 +214,8 @@
         self._receive_timeout_s = receive_timeout_s
         self.is_cut = is_cut
         self.messages_sent = 0
+        self.sent_by_kind: collections.Counter[str] = collections.Counter()
+        self.received_by_kind: collections.Counter[str] = collections.Counter()
         self.heap = heap
         self.bytes_sent = 0
         self._key = key
@@ -253,6 +258,14 @@
             if outgoing.link is not None:
                 self.drop_link(outgoing.link)
 
+    @property
+    def link_count(self) -> int:
+        """Number of connections, in both directions."""
+        outgoing = sum(
+            each.link is not None for each in self._outgoing.values()
+        )
+        return outgoing + len(self._incoming)
+
     def is_linked(self, peer: ids.InstanceId) -> bool:
         """Whether the link to a peer is up."""
         outgoing = self._outgoing.get(peer)
--- a/chervilwheel/streams.py
+++ b/chervilwheel/streams.py
@@ -9,6 +9,7 @@
 from circuits.core import pollers
 
 from chervilwheel import addresses
+from chervilwheel import loopload
 
 _LOG = logging.getLogger("streams")
 READ_BYTES = 262_144
@@ -121,14 +122,31 @@
 AcceptCallback = typing.Callable[[Stream], None]
 
 
+class _Poller(pollers.EPoll):
+    """A poller that reports when it begins and ends to wait."""
+
+    def __init__(self, *, load: loopload.LoopLoad) -> None:
+        super().__init__()
+        self._load = load
+
+    def _generate_events(self, event: typing.Any) -> None:
+        self._load.poll_begins()
+        super()._generate_events(event)
+        self._load.poll_ended()
+
+
 class StreamLoop(circuits.BaseComponent):
-    """Poll streams and listening sockets within the circuits loop."""
+    """Poll streams and listening sockets within the circuits loop.
+
+    :param load: measures the turns of the loop, None to measure nothing
+    """
 
     channel = "streams"
 
-    def __init__(self) -> None:
+    def __init__(self, *, load: loopload.LoopLoad | None = None) -> None:
         super().__init__()
-        self._poller = pollers.EPoll().register(self)
+        poller = pollers.EPoll() if load is None else _Poller(load=load)
+        self._poller = poller.register(self)
         self._streams: dict[socket.socket, Stream] = {}
         self._listeners: dict[socket.socket, AcceptCallback] = {}
 
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -5,6 +5,7 @@
 sustained load of about 70% of the capacity, in tasks of 60 to 900 ms.
 """
 
+import collections
 import logging
 import typing
 
@@ -13,6 +14,7 @@
 from chervilwheel.workers import jobstate
 from chervilwheel.workers import jobtable
 from chervilwheel.workers import leases
+from chervilwheel.workers import placement
 from chervilwheel.workers import reconciler
 from chervilwheel.workers import starter
 from chervilwheel.workers import takeover
@@ -52,6 +54,7 @@
     ) -> None:
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self.refusals = 0
+        self.verdicts: collections.Counter[str] = collections.Counter()
         self._limits = lease_limits
         self._reports_complete_at = reports_complete_at
         self._actions: list[work.Action] = []
@@ -232,6 +235,7 @@
         now: float,
     ) -> None:
         """Process the answer to a start order."""
+        self.verdicts[verdict.value] += 1
         executor = self.executors.get(order.executor)
         if executor is None:
             return
@@ -401,7 +405,8 @@
     def _refuse_overdue(self, now: float) -> None:
         unstarted = self._job_table.unstarted()
         waiting_tasks = sum(len(state.pending) for state in unstarted)
-        usable = sum(e.may_start(now) for e in self.executors.values())
+        may_start = [e for e in self.executors.values() if e.may_start(now)]
+        usable = len(may_start)
         for state in unstarted:
             limit_s = waitlimit.wait_limit_s(
                 state, waiting_tasks=waiting_tasks, executors=usable
@@ -415,6 +420,7 @@
                         "waited_s": round(now - state.arrived_at, 3),
                         "limit_s": round(limit_s, 3),
                         "waiting_tasks": waiting_tasks,
+                        "fit": placement.count_places(may_start, state.job),
                         "usable": usable,
                         "executors": len(self.executors),
                     },
--- a/chervilwheel/workers/placement.py
+++ b/chervilwheel/workers/placement.py
@@ -43,3 +43,17 @@
         if best is None or cost < best_cost:
             best, best_cost = executor, cost
     return best
+
+
+def count_places(
+    candidates: typing.Iterable[executors.Executor], job: work.Job
+) -> int:
+    """Count the executors with free resources for a task of the first step.
+
+    :param candidates: executors that may start runs
+    """
+    return sum(
+        executor.report.service == job.service
+        and executor.free.holds(job.steps[0].room)
+        for executor in candidates
+    )
