--- /dev/null
+++ b/tests/hostworld.py
@@ -0,0 +1,282 @@
+"""Control hosts and entry hosts over an in-memory network in virtual time.
+
+The hosts, their links and the messages are the real ones; streams, disks and
+clocks are simulated.
+"""
+
+import contextlib
+import logging
+import pathlib
+import tempfile
+import types
+
+from chervilwheel import addresses
+from chervilwheel import clock
+from chervilwheel import ids
+from chervilwheel import metrics
+from chervilwheel import peers
+from chervilwheel import timers
+from chervilwheel.control import controlhost
+from chervilwheel.control import documents
+from chervilwheel.control import entryhost
+from chervilwheel.control import nodesettings
+from chervilwheel.control import runtime
+from chervilwheel.workers import ports
+
+PEER_PORT = 7720
+CONTROL_PORT = 8166
+LATENCY_S = 0.001
+ZONES = ("north", "south")
+
+
+class SilentPort(ports.ExecutorPort):
+    """Executors that answer nothing."""
+
+    def start(self, order, done):
+        """Drop the order."""
+
+    def stop(self, order, done):
+        """Drop the order."""
+
+    def hold(self, order, done):
+        """Drop the order."""
+
+
+class EmptyDecoder(documents.Decoder):
+    """Decodes any bytes to a document without queues."""
+
+    def decode(self, data):
+        """Return a document whose version is the number in the bytes."""
+        return documents.Document(int(data), (), (), documents.Bounds(), data)
+
+
+class Stream:
+    """One end of an in-memory connection."""
+
+    def __init__(self, network, host):
+        self.is_open = False
+        self.is_closed = False
+        self.on_open = self.on_data = self.on_closed = None
+        self.unsent_bytes = 0
+        self.other = None
+        self._network = network
+        self._host = host
+
+    def send(self, data):
+        other = self.other
+        self._network.later(
+            self._host, lambda: other.receive(data) if other else None
+        )
+
+    def receive(self, data):
+        if not self.is_closed and self._host in self._network.running:
+            self.on_data(data)
+
+    def close(self):
+        if self.is_closed:
+            return
+        self.is_closed = True
+        if self.other is not None:
+            self._network.later(self._host, self.other.abort)
+
+    def abort(self):
+        if not self.is_closed and self._host in self._network.running:
+            self.close()
+            self.on_closed()
+
+
+class Network:
+    """Connects the streams of the hosts that run."""
+
+    def __init__(self, heap):
+        self.heap = heap
+        self.acceptors = {}
+        self.running = set()
+        self.connects = 0
+
+    def later(self, host, callback):
+        if host in self.running:
+            self.heap.call_later(LATENCY_S, callback)
+
+    def connect(self, host, address):
+        self.connects += 1
+        near, far = Stream(self, host), Stream(self, address.host)
+        near.other, far.other = far, near
+        self.later(host, lambda: self._establish(near, far, address))
+        return near
+
+    def _establish(self, near, far, address):
+        if address.host not in self.running:
+            return
+        if not near.is_closed:
+            near.is_open = far.is_open = True
+            self.acceptors[address.host](far)
+            if near.on_open is not None:
+                near.on_open()
+
+
+class Loop:
+    """The stream loop of one host."""
+
+    def __init__(self, network, host):
+        self._network = network
+        self._host = host
+
+    def connect(self, address):
+        return self._network.connect(self._host, address)
+
+    def listen(self, address, acceptor):
+        self._network.acceptors[self._host] = acceptor
+
+
+class HostHeap:
+    """The timers of one host, which stop when the host does."""
+
+    def __init__(self, network, host):
+        self.clock = network.heap.clock
+        self._network = network
+        self._host = host
+
+    def call_at(self, when, callback):
+        return self._network.heap.call_at(when, self._guard(callback))
+
+    def call_later(self, seconds, callback):
+        return self.call_at(self.clock.now() + seconds, callback)
+
+    def call_every(self, seconds, callback):
+        def run():
+            self.call_later(seconds, run)
+            callback()
+
+        self.call_later(seconds, run)
+
+    def _guard(self, callback):
+        def run():
+            if self._host in self._network.running:
+                callback()
+
+        return run
+
+
+class World:
+    """Hosts of two zones that run in virtual time.
+
+    :param controls: number of control hosts
+    :param entries: number of entry hosts
+    """
+
+    def __init__(self, *, controls, entries):
+        self._stack = contextlib.ExitStack()
+        self._folder = pathlib.Path(
+            self._stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        self.clock = clock.ManualClock()
+        self.heap = timers.TimerHeap(clk=self.clock, on_error=self._fail)
+        self.network = Network(self.heap)
+        self.errors = []
+        self.nodes = {}
+        self.controls = {}
+        self.entries = {}
+        seeds = [f"10.0.0.{n + 1}" for n in range(controls)]
+        for host in seeds:
+            node = self._node(host, "control", seeds)
+            self.controls[host] = controlhost.ControlHost(
+                node=node, decoder=EmptyDecoder(), port=SilentPort()
+            )
+        for number in range(entries):
+            host = f"10.1.0.{number + 1}"
+            node = self._node(host, "entry", seeds)
+            self.entries[host] = entryhost.EntryHost(
+                node=node, decoder=EmptyDecoder(), port=SilentPort()
+            )
+
+    def close(self):
+        logging.disable(logging.NOTSET)
+        self._stack.close()
+
+    def _fail(self, exc):
+        self.errors.append(exc)
+
+    def _node(self, host, role, seeds):
+        folder = self._folder / host
+        cfg = nodesettings.NodeSettings(
+            name=host,
+            role=role,
+            host=host,
+            zone=ids.ZoneId(ZONES[len(self.nodes) % len(ZONES)]),
+            zones=ZONES,
+            listen={},
+            seeds=tuple(
+                addresses.Address(seed, CONTROL_PORT) for seed in seeds
+            ),
+            peer_port=PEER_PORT,
+            is_founding=True,
+            data_folder=str(folder) if role == "control" else "",
+            disk_losses=1,
+            drain_s=6.0,
+            max_lease_s=1.0,
+            stop_s=0.05,
+            heartbeat_s=1.5,
+            metrics_port=0,
+        )
+        self.network.running.add(host)
+        heap = HostHeap(self.network, host)
+        loop = Loop(self.network, host)
+        links = peers.Peers(
+            name=cfg.id,
+            key=runtime.cluster_key(cfg),
+            loop=loop,
+            heap=heap,
+            is_cut=lambda _peer, _direction: False,
+            heartbeat_s=runtime.PEER_HEARTBEAT_S,
+            receive_timeout_s=runtime.PEER_SILENCE_S,
+        )
+        links.listen(addresses.Address(host, PEER_PORT))
+
+        def add_host(other):
+            if other != host:
+                links.set_address(
+                    ids.InstanceId(other),
+                    addresses.Address(other, PEER_PORT),
+                )
+            return ids.InstanceId(other)
+
+        node = types.SimpleNamespace(
+            cfg=cfg,
+            heap=heap,
+            links=links,
+            metrics=metrics.Registry(),
+            add_host=add_host,
+            stop=lambda: self.stop(host),
+        )
+        self.nodes[host] = node
+        return node
+
+    def stop(self, host):
+        """Stop a host as a loss of power does."""
+        self.network.running.discard(host)
+
+    def run(self, seconds):
+        """Advance the time and run what is due."""
+        end = self.clock.now() + seconds
+        while self.clock.now() < end:
+            wait_s = self.heap.run_due()
+            if self.errors:
+                raise self.errors[0]
+            left_s = end - self.clock.now()
+            self.clock.advance(min(wait_s or left_s, left_s) + 1e-6)
+
+    def put_document(self, version):
+        """Store a document at a control host."""
+        results = []
+        control = next(iter(self.controls.values()))
+        control.put(b"%d" % version, results.append)
+        self.run(1.0)
+        return results == [True]
+
+    def messages(self, host):
+        """Count the messages that a host has sent and received."""
+        links = self.nodes[host].links
+        return sum(links.sent_by_kind.values()) + sum(
+            links.received_by_kind.values()
+        )
