Entry hosts: link to each other only while a standby may be needed

Cause: at every start, and at each election, entry hosts opened a link to every other one and kept it, with heartbeats and echoes each 0.3 s: messages grew with the square of their number. Each control host also sent its status to each entry host every 0.15 s and again for each heartbeat.

Evidence: 25 links and, among 30 hosts, 454.7 messages/s at an entry host without jobs (87.5 among 3); tests/test_hosts.py failed so. On loopback an idle entry host used 0.018 cores among 2, 0.036 among 24.

Change: entry hosts exchange heartbeats only when no holder is known and no control host reports a quorum (or an election takes long), and close the links when a leader is the holder. Only the holder sends its status periodically; other control hosts answer heartbeats. Links carry heartbeats only where other messages are not exchanged as often. A message to many is encoded once. A standby still waits 0.35 s for the others' heartbeats, now from the time at which these begin.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -261,10 +261,13 @@
         self.holder_role.record_token(message.token)
         if message.document_version < self.machine.version:
             self._push(link)
-        if previous is None or previous.link is not link:
+        is_new = previous is None or previous.link is not link
+        if is_new:
             reports = tuple(each for _, each in self._reports.values())
             link.send(messages.ExecutorNews(reports))
-        link.send(self._status())
+        # The holder sends its status periodically.
+        if is_new or not self.holder_role.is_active:
+            link.send(self._status())
 
     def _on_document(self, version: int, data: bytes) -> None:
         _LOG.info("control: document applied", extra={"v": version})
@@ -314,7 +317,9 @@
 
     def _send_status(self) -> None:
         self._remove_old_reports()
-        self.holder_role.send_status(self._status())
+        self.holder_role.remove_silent_entries()
+        if self.holder_role.is_active:
+            self.holder_role.send_status(self._status())
 
     def _remove_old_reports(self) -> None:
         now = self._heap.clock.now()
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -2,6 +2,7 @@
 
 import enum
 import logging
+import typing
 
 from chervilwheel import errors
 from chervilwheel import ids
@@ -23,6 +24,13 @@
 CONTROL_HEARTBEAT_RATIO = 4
 # The holder sends its status every 0.15 s; this covers three of them.
 HOLDER_TIMEOUT_S = 0.5
+# One missed status: the other control hosts are asked whether they reach a
+# quorum.
+HOLDER_SUSPECT_S = 0.2
+# Control hosts answer a heartbeat within a few milliseconds.
+QUORUM_REPLY_S = 0.03
+# Links to entry hosts are closed this long after the last message.
+ENTRY_LINK_UNUSED_S = 2.0
 # Above the number of executor incarnations that a zone has in a day.
 MAX_REPORTS = 4_096
 
@@ -106,29 +114,12 @@
 
     def _send_heartbeat(self) -> None:
         now = self._heap.clock.now()
-        version = self._version()
-        token = self._holder_role.highest_token
-        holder = self.jobs.holder
-        followed_holder = holder.host if holder else ids.InstanceId("")
-        heartbeat = messages.EntryBeat(
-            self._me, version, token, followed_holder
-        )
-        receivers: set[ids.InstanceId] = set()
         self._heartbeats_sent += 1
-        if holder is not None and not holder.is_standby:
-            receivers.add(holder.host)
-        else:
-            receivers |= self._entry_hosts
-        if (
-            holder is None
-            or self._heartbeats_sent % CONTROL_HEARTBEAT_RATIO == 0
-        ):
-            receivers |= self._control_hosts
-        receivers.discard(self._me)
-        for name in receivers:
-            self._node.links.send(name, heartbeat)
+        self._send_to(self._heartbeat_receivers(now))
+        holder = self.jobs.holder
         is_holder_timed_out = now - self._holder_seen_at > HOLDER_TIMEOUT_S
         if self._holder_role.is_active:
+            self._holder_role.remove_silent_entries()
             self._holder_role.send_status(self._status())
         elif holder is not None and is_holder_timed_out:
             self._clear_holder("silent")
@@ -136,6 +127,52 @@
             self._maybe_take_over(now)
         self.jobs.expire(now)
 
+    def _heartbeat_receivers(self, now: float) -> set[ids.InstanceId]:
+        """Return the hosts that receive the next heartbeat."""
+        holder = self.jobs.holder
+        is_turn = self._heartbeats_sent % CONTROL_HEARTBEAT_RATIO == 0
+        is_suspect = now - self._holder_seen_at > HOLDER_SUSPECT_S
+        receivers: set[ids.InstanceId] = set()
+        if is_turn or is_suspect or holder is None:
+            receivers |= self._control_hosts
+        if holder is not None and not holder.is_standby:
+            receivers.add(holder.host)
+            if is_turn:
+                self._close_entry_links()
+        elif holder is not None or self._should_discover(now):
+            receivers |= self._entry_hosts
+        return receivers
+
+    def _send_to(self, receivers: typing.Iterable[ids.InstanceId]) -> None:
+        """Send a heartbeat."""
+        holder = self.jobs.holder
+        heartbeat = messages.EntryBeat(
+            self._me,
+            self._version(),
+            self._holder_role.highest_token,
+            holder.host if holder else ids.InstanceId(""),
+        )
+        for name in receivers:
+            if name != self._me:
+                self._node.links.send(name, heartbeat)
+
+    def _should_discover(self, now: float) -> bool:
+        return self._standby.discover(
+            holder_lost_at=self.jobs.holder_lost_at, now=now
+        )
+
+    def _on_quorum_replies(self) -> None:
+        """Contact the other entry hosts unless a quorum was reported."""
+        if self.jobs.holder is None and self._should_discover(
+            self._heap.clock.now()
+        ):
+            self._send_to(self._entry_hosts)
+
+    def _close_entry_links(self) -> None:
+        """Close the links to other entry hosts that no standby needs."""
+        for name in self._entry_hosts:
+            self._node.links.close_unused(name, unused_s=ENTRY_LINK_UNUSED_S)
+
     def _on_entry_beat(
         self, link: peers.Link, heartbeat: messages.EntryBeat
     ) -> None:
@@ -245,6 +282,8 @@
             )
             if new_holder.host != self._me:
                 self._holder_role.end("another holder took over")
+            if not new_holder.is_standby:
+                self._standby.end_discovery()
         self.jobs.set_holder(new_holder)
 
     def _on_lost(self, peer: ids.InstanceId) -> None:
@@ -258,6 +297,8 @@
         )
         self.jobs.clear_holder()
         self._counts = {}
+        self._send_to(self._control_hosts)
+        self._heap.call_later(QUORUM_REPLY_S, self._on_quorum_replies)
 
     def _on_answer(self, link: peers.Link, answer: messages.JobAnswer) -> None:
         self.jobs.handle_answer(work.Answer(*answer), link.peer)
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -204,18 +204,22 @@
         }
 
     def send_status(self, status: messages.ControlNews) -> None:
-        """Send a status to the entry hosts and remove those that timed out."""
-        now = self._heap.clock.now()
+        """Send a status to the entry hosts."""
         if self._runner is not None:
+            now = self._heap.clock.now()
             self._runner.engine.record_entry_heartbeat(self._me, now)
+        for entry_link in self.entries.values():
+            entry_link.link.send(status)
+
+    def remove_silent_entries(self) -> None:
+        """End the jobs of entry hosts that timed out, and remove the hosts."""
+        now = self._heap.clock.now()
         for name, entry_link in list(self.entries.items()):
             silent_s = now - entry_link.last_seen_at
             if silent_s > ENTRY_REMOVAL_S:
                 del self.entries[name]
-                continue
-            if self._runner is not None and silent_s > ENTRY_TIMEOUT_S:
+            elif self._runner is not None and silent_s > ENTRY_TIMEOUT_S:
                 self._runner.end_entry_jobs(name)
-            entry_link.link.send(status)
 
     def forward_reports(
         self, reports: typing.Sequence[work.ExecutorReport]
--- a/chervilwheel/control/standby.py
+++ b/chervilwheel/control/standby.py
@@ -28,6 +28,7 @@
         self._me = me
         self._heartbeat_at: dict[ids.InstanceId, float] = {}
         self._quorum_seen_at = -ELECTION_WAIT_S
+        self._discovering_since: float | None = None
 
     def record_heartbeat(self, entry: ids.InstanceId, now: float) -> None:
         """Record a heartbeat of another entry host."""
@@ -46,6 +47,29 @@
         ]
         return sorted([*alive, self._me])
 
+    def can_elect(self, now: float) -> bool:
+        """Whether a control host has reported a quorum recently."""
+        return now - self._quorum_seen_at < QUORUM_TIMEOUT_S
+
+    def discover(self, *, holder_lost_at: float, now: float) -> bool:
+        """Whether to exchange heartbeats with the other entry hosts.
+
+        They do so only when a standby may be needed: the heartbeats of all
+        to all grow with the square of their number.
+
+        :param holder_lost_at: time when the last holder was lost, seconds
+        """
+        lead_s = ELECTION_WAIT_S - NO_QUORUM_WAIT_S
+        if self.can_elect(now) and now - holder_lost_at < lead_s:
+            self._discovering_since = None
+        elif self._discovering_since is None:
+            self._discovering_since = now
+        return self._discovering_since is not None
+
+    def end_discovery(self) -> None:
+        """Record that a leader is the holder."""
+        self._discovering_since = None
+
     def should_take_over(self, *, holder_lost_at: float, now: float) -> bool:
         """Whether this host is to take over the executors.
 
@@ -53,8 +77,10 @@
 
         :param holder_lost_at: time when the last holder was lost, seconds
         """
-        can_elect = now - self._quorum_seen_at < QUORUM_TIMEOUT_S
-        wait_s = ELECTION_WAIT_S if can_elect else NO_QUORUM_WAIT_S
+        wait_s = ELECTION_WAIT_S if self.can_elect(now) else NO_QUORUM_WAIT_S
         if now - holder_lost_at < wait_s:
             return False
+        since = self._discovering_since
+        if since is not None and now - since < NO_QUORUM_WAIT_S:
+            return False
         return self.reachable(now)[0] == self._me
--- a/chervilwheel/peers.py
+++ b/chervilwheel/peers.py
@@ -52,6 +52,7 @@
         self.peer = peer
         self.is_authenticated = False
         self.last_received_at = owner.heap.clock.now()
+        self.last_sent_at = self.last_received_at
         self._owner = owner
         self._stream = stream
         self._is_connector = is_connector
@@ -81,7 +82,8 @@
     def _send(self, message: typing.Any) -> None:
         if self._owner.is_cut(self.peer, "out"):
             return
-        data = messages.CODEC.encode(message)
+        data = self._owner.encode(message)
+        self.last_sent_at = self._owner.heap.clock.now()
         self._owner.bytes_sent += len(data) + _LENGTH.size
         self._owner.messages_sent += 1
         self._owner.sent_by_kind[type(message).__name__] += 1
@@ -180,6 +182,7 @@
         self.queued: list[typing.Any] = []
         self.reconnect_at = 0.0
         self.opened_at = 0.0
+        self.used_at = 0.0
 
 
 Handler = typing.Callable[[Link, typing.Any], None]
@@ -194,7 +197,8 @@
     :param heap: timers
     :param is_cut: whether fault injection drops traffic with a peer in a
         direction (``in`` or ``out``)
-    :param heartbeat_s: interval between heartbeats on a link, seconds
+    :param heartbeat_s: interval between heartbeats on a link on which other
+        messages are not exchanged as often, seconds
     :param receive_timeout_s: an outgoing link that receives nothing for
         this long is closed, an incoming one after twice as long, seconds
     """
@@ -218,6 +222,8 @@
         self.received_by_kind: collections.Counter[str] = collections.Counter()
         self.heap = heap
         self.bytes_sent = 0
+        self._heartbeat_s = heartbeat_s
+        self._last_encoded: tuple[typing.Any, bytes] | None = None
         self._key = key
         self._loop = loop
         self._outgoing: dict[ids.InstanceId, _OutgoingLink] = {}
@@ -283,6 +289,7 @@
         outgoing = self._outgoing.get(peer)
         if outgoing is None:
             return False
+        outgoing.used_at = self.heap.clock.now()
         if outgoing.link is not None and outgoing.link.is_authenticated:
             outgoing.link.send(message)
             return True
@@ -296,6 +303,29 @@
         outgoing.queued.append(message)
         return True
 
+    def close_unused(self, peer: ids.InstanceId, *, unused_s: float) -> None:
+        """Close the outgoing link to a peer if it hasn't been used.
+
+        The next message to the peer opens it again.
+
+        :param unused_s: time without a message other than heartbeats, seconds
+        """
+        outgoing = self._outgoing.get(peer)
+        if outgoing is None or outgoing.link is None:
+            return
+        if self.heap.clock.now() - outgoing.used_at > unused_s:
+            outgoing.link.close()
+            outgoing.link = None
+            outgoing.queued = []
+
+    def encode(self, message: typing.Any) -> bytes:
+        """Encode a message; one that is sent to many is encoded once."""
+        last = self._last_encoded
+        if last is None or last[0] is not message:
+            last = (message, messages.CODEC.encode(message))
+            self._last_encoded = last
+        return last[1]
+
     def compute_proof(
         self, verifier_nonce: bytes, prover_nonce: bytes, name: str
     ) -> bytes:
@@ -371,7 +401,10 @@
             )
             if now - max(link.last_received_at, outgoing.opened_at) > limit_s:
                 self.drop_link(link)
-            elif link.is_authenticated:
+            elif link.is_authenticated and (
+                now - min(link.last_received_at, link.last_sent_at)
+                >= self._heartbeat_s
+            ):
                 link.send(messages.Heartbeat(self._heartbeat_sequence, False))
         for link in list(self._incoming):
             if now - link.last_received_at > 2 * self._receive_timeout_s:
