Engine: a takeover's cost doesn't grow with jobs times executors

Cause: while jobs wait for a takeover, each executor's answer and each offer passed over all waiting jobs with all executors, sorted the queue anew, looked for orphans on all executors and checked all takeovers. With 400 jobs at 175 executors that took 0.5 s in the engine alone, longer than the 0.35 s for which a start order is valid and most of a lease: what had been started was lost and done again.

Change: the queue stays sorted by insertion; jobs that are taken over stand apart until a tick releases them; an offer places its own job only; one pass over the queue doesn't look again for room that it hasn't found; orphans, completions and executors' sizes are indexed; a round of polls covers the offers of 60 ms.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -54,6 +54,8 @@
     ) -> None:
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self.refusals = 0
+        # Distinct sizes of executors by service, None after a change.
+        self._rooms: dict[ids.ServiceId, set[work.Room]] | None = None
         self.verdicts: collections.Counter[str] = collections.Counter()
         self._limits = lease_limits
         self._reports_complete_at = reports_complete_at
@@ -118,6 +120,7 @@
                 stop_s=self._limits.stop_s,
             )
             self.executors[report.id] = executor
+            self._rooms = None
             self._reconciler.add_executor(executor)
         elif report.is_gone:
             self._remove_executor(executor, now)
@@ -126,6 +129,8 @@
             return
         if report.is_draining and not executor.report.is_draining:
             executor.draining_since = now
+        if report.room != executor.report.room:
+            self._rooms = None
         executor.update_report(report)
         executor.last_report_at = max(executor.last_report_at, now - age_s)
         executor.update_clock(report.clock_ms, now)
@@ -147,6 +152,7 @@
                 if job.offers > existing.job.offers:
                     existing.restart_takeover(job, now)
                     self._takeovers.add(existing)
+                    self._job_table.waiting.add(existing)
                     self._reconciler.adopt(existing, now)
                 return
             if (
@@ -174,20 +180,23 @@
             return
         self._job_table.waiting.add(state)
         if state.is_taking_over:
+            # Released by the next tick: each check costs time that grows with
+            # the numbers of executors and jobs.
             self._takeovers.add(state)
             self._reconciler.adopt(state, now)
-            self._takeovers.release_ready(self.executors.values(), now)
-        self._starter.place(now)
+        else:
+            self._starter.place_new(state, now)
 
     def _never_fits(self, job: work.Job, now: float) -> bool:
         """Return whether some task is too large for every executor."""
         if job.offers or now < self._reports_complete_at:
             return False
-        rooms = [
-            executor.report.room
-            for executor in self.executors.values()
-            if executor.report.service == job.service
-        ]
+        if self._rooms is None:
+            self._rooms = {}
+            for executor in self.executors.values():
+                report = executor.report
+                self._rooms.setdefault(report.service, set()).add(report.room)
+        rooms = self._rooms.get(job.service, ())
         return bool(rooms) and not all(
             any(room.holds(step.room) for room in rooms) for step in job.steps
         )
@@ -220,8 +229,8 @@
 
     def end_entry_jobs(self, entry: ids.InstanceId, now: float) -> None:
         """Stop the jobs of an entry host whose heartbeats have stopped."""
-        for state in list(self._job_table.jobs.values()):
-            if state.entry == entry and not state.is_finished:
+        for state in list(self._job_table.active):
+            if state.entry == entry:
                 # LOST, since the host may return and offer the job again.
                 self._finish(
                     state, work.Outcome.LOST, now, reason="entry_lost"
@@ -312,9 +321,7 @@
             return
         self._leases.held(executor, order, answer, sent_at, now)
         self._reconciler.reconcile(executor, answer, sent_at, now)
-        had_takeovers = bool(self._takeovers)
-        self._takeovers.release_ready(self.executors.values(), now)
-        self._starter.place(now, None if had_takeovers else executor)
+        self._starter.place(now, executor)
         self._maintain(executor, now)
 
     def _remove_executor(
@@ -323,6 +330,7 @@
         """Remove an executor that has ended, and requeue its runs."""
         executor.is_gone = True
         self.executors.pop(executor.id, None)
+        self._rooms = None
         self._reconciler.remove_executor(executor)
         _LOG.info(
             "engine: an executor is gone",
@@ -355,7 +363,10 @@
 
     def tick(self, now: float) -> None:
         """Perform all periodic work that is due."""
-        self._takeovers.release_ready(self.executors.values(), now)
+        for state in self._takeovers.release_ready(
+            self.executors.values(), now
+        ):
+            self._job_table.waiting.add(state)
         for executor in list(self.executors.values()):
             self._reconciler.stop_orphans(executor, now)
             self._maintain(executor, now)
--- a/chervilwheel/workers/jobstate.py
+++ b/chervilwheel/workers/jobstate.py
@@ -31,6 +31,7 @@
     :param job: the job as offered
     :param entry: the entry host that waits for the answer
     :param now: monotonic time of its arrival, seconds
+    :ivar min_cpu: the smallest CPU need of any of its tasks
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self.is_started = False
         self.is_taking_over = job.offers > 0
         self.takeover_from = now
+        self.min_cpu = min((step.room.cpu for step in job.steps), default=0)
         self.answer: work.Answer | None = None
         self.ended_at = 0.0
         self.tasks = [
--- a/chervilwheel/workers/jobtable.py
+++ b/chervilwheel/workers/jobtable.py
@@ -1,5 +1,6 @@
 """All jobs of a holder: waiting, running and recently ended."""
 
+import itertools
 import typing
 
 from chervilwheel import ids
@@ -16,13 +17,17 @@
     """Jobs by id, and completed tasks of jobs that were not offered yet.
 
     :param actions: list that the answers are appended to
+    :ivar active: the jobs without an answer, oldest first
     """
 
     def __init__(self, *, actions: list[work.Action]) -> None:
         self.jobs: dict[ids.JobId, jobstate.JobState] = {}
         self.waiting = waiting.WaitingQueue()
-        self._finished: list[jobstate.JobState] = []
-        self._orphan_completions: dict[work.TaskId, float] = {}
+        self.active: dict[jobstate.JobState, None] = {}
+        self._finished: dict[jobstate.JobState, None] = {}
+        self._orphan_completions: dict[
+            ids.JobId, dict[work.TaskId, float]
+        ] = {}
         self._actions = actions
 
     def add(
@@ -30,10 +35,11 @@
     ) -> jobstate.JobState:
         """Add a job, replacing an ended one with the same id."""
         previous = self.jobs.get(job.id)
-        if previous in self._finished:
-            self._finished.remove(previous)
+        if previous is not None:
+            self._finished.pop(previous, None)
         state = jobstate.JobState(job=job, entry=entry, now=now)
         self.jobs[job.id] = state
+        self.active[state] = None
         return state
 
     def requeue(self, run: executors.Run) -> None:
@@ -69,11 +75,13 @@
 
     def record_orphan_completion(self, task: work.TaskId, now: float) -> None:
         """Record a task completed under another holder."""
-        self._orphan_completions[task] = now
+        tasks = self._orphan_completions.pop(task.job, {})
+        tasks[task] = now
+        self._orphan_completions[task.job] = tasks
 
     def orphan_completions(self, job: ids.JobId) -> list[work.TaskId]:
         """List the tasks of a job that were completed under another holder."""
-        return [task for task in self._orphan_completions if task.job == job]
+        return list(self._orphan_completions.get(job, ()))
 
     def finish(
         self, state: jobstate.JobState, answer: work.Answer, now: float
@@ -83,8 +91,9 @@
         state.ended_at = now
         state.pending = []
         self._actions.append(answer)
-        self._finished.append(state)
-        self.waiting.mark_changed()
+        self.active.pop(state, None)
+        self._finished[state] = None
+        self.waiting.remove(state)
 
     def unstarted(self) -> list[jobstate.JobState]:
         """List the waiting jobs that no holder has started tasks of."""
@@ -96,18 +105,24 @@
 
     def purge(self, now: float) -> None:
         """Remove ended jobs and recorded completions past their retention."""
-        for task, at in list(self._orphan_completions.items()):
-            if now - at > RETENTION_S:
-                del self._orphan_completions[task]
-        kept = []
-        for state in self._finished:
-            is_expired = now - state.ended_at > RETENTION_S
-            if is_expired and state.open_runs <= 0:
+        # Both are in the order of their times, so the first recent one ends
+        # the search.
+        expired_tasks = itertools.takewhile(
+            lambda job: (
+                now - max(self._orphan_completions[job].values()) > RETENTION_S
+            ),
+            self._orphan_completions,
+        )
+        for job in list(expired_tasks):
+            del self._orphan_completions[job]
+        expired_jobs = itertools.takewhile(
+            lambda state: now - state.ended_at > RETENTION_S, self._finished
+        )
+        for state in list(expired_jobs):
+            if state.open_runs <= 0:
+                del self._finished[state]
                 if self.jobs.get(state.job.id) is state:
                     del self.jobs[state.job.id]
-            else:
-                kept.append(state)
-        self._finished = kept
 
     def waiting_by_queue(self) -> dict[str, int]:
         """Return the number of jobs that have not started, by queue."""
@@ -118,4 +133,4 @@
         return counts
 
     def _waiting_unstarted(self) -> typing.Iterator[jobstate.JobState]:
-        return (s for s in self.waiting.ordered() if not s.is_started)
+        return (s for s in self.waiting.all_jobs() if not s.is_started)
--- a/chervilwheel/workers/reconciler.py
+++ b/chervilwheel/workers/reconciler.py
@@ -3,6 +3,7 @@
 import logging
 import typing
 
+from chervilwheel import ids
 from chervilwheel.workers import executors
 from chervilwheel.workers import health
 from chervilwheel.workers import jobstate
@@ -43,6 +44,8 @@
         self._leases = lease_manager
         self._finish = finish
         self._health: dict[work.ExecutorId, health.Health] = {}
+        # Executors with orphans by job, None after a new orphan.
+        self._orphans: dict[ids.JobId, set[work.ExecutorId]] | None = None
 
     def add_executor(self, executor: executors.Executor) -> None:
         """Start tracking the health of an executor."""
@@ -103,6 +106,7 @@
             is_orphan=True,
         )
         executor.add_run(run)
+        self._orphans = None
         state = self._job_table.jobs.get(row.task.job)
         if state is not None and state.is_taking_over:
             self._adopt_run(state, executor, run)
@@ -204,13 +208,28 @@
 
     def adopt(self, state: jobstate.JobState, now: float) -> None:
         """Adopt the runs and completed tasks of a job from other holders."""
-        for executor in self._executors.values():
+        for name in self._executors_with_orphans(state.job.id):
+            executor = self._executors.get(name)
+            if executor is None:
+                continue
             for run in list(executor.runs.values()):
                 if run.task.job == state.job.id and run.is_orphan:
                     self._adopt_run(state, executor, run)
         for task in self._job_table.orphan_completions(state.job.id):
             self._complete_task(state, task, now)
 
+    def _executors_with_orphans(
+        self, job: ids.JobId
+    ) -> typing.Collection[work.ExecutorId]:
+        if self._orphans is None:
+            self._orphans = {}
+            for executor in self._executors.values():
+                for run in executor.runs.values():
+                    if run.is_orphan:
+                        names = self._orphans.setdefault(run.task.job, set())
+                        names.add(executor.id)
+        return self._orphans.get(job, ())
+
     def _adopt_run(
         self,
         state: jobstate.JobState,
--- a/chervilwheel/workers/starter.py
+++ b/chervilwheel/workers/starter.py
@@ -59,20 +59,30 @@
         candidates = (
             self._executors.values() if changed is None else (changed,)
         )
+        attempt = self._begin(candidates, now)
+        if not attempt.usable:
+            return
+        for state in self._job_table.waiting.ordered():
+            self._place_job(state, attempt)
+            if not attempt.usable:
+                return
+
+    def place_new(self, state: jobstate.JobState, now: float) -> None:
+        """Issue start orders for a job that has just begun to wait."""
+        attempt = self._begin(self._executors.values(), now)
+        if attempt.usable:
+            self._place_job(state, attempt)
+
+    def _begin(
+        self, candidates: typing.Iterable[executors.Executor], now: float
+    ) -> "_Attempt":
+        min_cpu = self._job_table.waiting.min_cpu()
         usable = [
-            executor for executor in candidates if executor.may_start(now)
+            executor
+            for executor in candidates
+            if executor.free.cpu >= min_cpu and executor.may_start(now)
         ]
-        min_cpu = self._job_table.waiting.min_cpu()
-        for state in list(self._job_table.waiting.ordered()):
-            usable = [
-                executor for executor in usable if executor.free.cpu >= min_cpu
-            ]
-            if not usable:
-                return
-            if not state.is_taking_over and self._is_entry_live(
-                state.entry, now
-            ):
-                self._place_job(state, usable, now)
+        return _Attempt(usable=usable, min_cpu=min_cpu, now=now)
 
     def _is_entry_live(self, entry: ids.InstanceId, now: float) -> bool:
         last_heartbeat_at = self._heartbeats.get(entry)
@@ -82,30 +92,36 @@
         )
 
     def _place_job(
-        self,
-        state: jobstate.JobState,
-        usable: list[executors.Executor],
-        now: float,
+        self, state: jobstate.JobState, attempt: "_Attempt"
     ) -> None:
+        if not self._is_entry_live(state.entry, attempt.now):
+            return
+        queue = self._job_table.waiting
         while state.pending:
             task = state.pending[0]
-            if state.job.offers and self._has_unfinished_run(task.id):
-                return
+            if state.job.offers and task.id in self._open_tasks(attempt):
+                break
             step = state.job.steps[task.id.step]
-            executor = placement.choose(
-                usable, task.id, step, state.job.service
-            )
+            executor = attempt.choose(task.id, step, state.job.service)
             if executor is None:
-                return
+                break
             state.pending.pop(0)
-            self._job_table.waiting.mark_changed()
-            self._start(state, task, step, executor, now)
+            self._start(state, task, step, executor, attempt.now)
+            attempt.update(executor)
+        if state.pending:
+            queue.add(state)
+        else:
+            queue.remove(state)
 
-    def _has_unfinished_run(self, task: work.TaskId) -> bool:
-        """Return whether an earlier run of a task may still be running."""
-        return any(
-            task in executor.runs for executor in self._executors.values()
-        )
+    def _open_tasks(self, attempt: "_Attempt") -> set[work.TaskId]:
+        """Return the tasks of which an earlier run may still be running."""
+        if attempt.open_tasks is None:
+            attempt.open_tasks = {
+                task
+                for executor in self._executors.values()
+                for task in executor.runs
+            }
+        return attempt.open_tasks
 
     def _start(
         self,
@@ -145,3 +161,42 @@
             )
         )
         self._leases.renew(executor, now)
+
+
+class _Attempt:
+    """One pass over waiting jobs, during which no resources become free.
+
+    :param usable: executors that may start tasks
+    :param min_cpu: lower bound of the CPU need of the waiting tasks
+    :param now: monotonic time, seconds
+    :ivar open_tasks: tasks with an unfinished run, None until they are needed
+    """
+
+    def __init__(
+        self, *, usable: list[executors.Executor], min_cpu: int, now: float
+    ) -> None:
+        self.usable = usable
+        self.now = now
+        self.open_tasks: set[work.TaskId] | None = None
+        self._min_cpu = min_cpu
+        self._too_large: dict[ids.ServiceId, work.Room] = {}
+
+    def choose(
+        self, task: work.TaskId, step: work.Step, service: ids.ServiceId
+    ) -> executors.Executor | None:
+        """Return the best executor for a task, or None if none fits."""
+        too_large = self._too_large.get(service)
+        if too_large is not None and step.room.holds(too_large):
+            return None
+        executor = placement.choose(self.usable, task, step, service)
+        is_constrained = step.required_label or step.most_together
+        if executor is None and not is_constrained:
+            self._too_large[service] = step.room
+        return executor
+
+    def update(self, executor: executors.Executor) -> None:
+        """Drop an executor that is full after a start."""
+        if executor.free.cpu < self._min_cpu:
+            self.usable = [
+                each for each in self.usable if each is not executor
+            ]
--- a/chervilwheel/workers/takeover.py
+++ b/chervilwheel/workers/takeover.py
@@ -12,6 +12,9 @@
 # An orphaned run that no job has adopted is stopped after this time. Entry
 # hosts offer their jobs again within it: it is two heartbeats long.
 ORPHAN_TIMEOUT_S = 0.3
+# Minimum time between two rounds of polls. A round covers all jobs that have
+# been offered before it.
+POLL_ROUND_S = 0.06
 # Time for repeating a lost stop order with the next renewal.
 STOP_RETRY_MARGIN_S = 0.3
 
@@ -59,14 +62,18 @@
 
     def release_ready(
         self, all_executors: typing.Collection[executors.Executor], now: float
-    ) -> None:
-        """Let jobs start whose earlier runs are all known or have ended."""
+    ) -> list[jobstate.JobState]:
+        """Let jobs start whose earlier runs are all known or have ended.
+
+        :returns: these jobs
+        """
         waiting = [state for state in self._jobs if not state.is_finished]
         self._jobs = []
         if not waiting:
             self.poll_after = 0.0
-            return
-        self.poll_after = max(state.takeover_from for state in waiting)
+            return []
+        if now - self.poll_after >= POLL_ROUND_S:
+            self.poll_after = max(state.takeover_from for state in waiting)
         live = [
             executor
             for executor in all_executors
@@ -79,6 +86,7 @@
             (executor.listed_at for executor in live), default=0.0
         )
         is_inventory_complete = now >= self._reports_complete_at
+        released = []
         for state in waiting:
             if state.job.is_from_standby:
                 listed_since = all_listed_since
@@ -90,5 +98,7 @@
             )
             if are_runs_known or now >= ends_at:
                 state.is_taking_over = False
+                released.append(state)
             else:
                 self._jobs.append(state)
+        return released
--- a/chervilwheel/workers/waiting.py
+++ b/chervilwheel/workers/waiting.py
@@ -1,58 +1,84 @@
 """The queue of jobs with pending tasks, in start order."""
 
+import bisect
+import heapq
+import itertools
 import typing
 
 from chervilwheel.workers import jobstate
 
+# Stale rows are removed when they outnumber the current ones by this.
+MAX_STALE_ROWS = 64
+
+_Key = tuple[bool, int, float, int]
+
 
 class WaitingQueue:
-    """Jobs by urgency: started ones first, then by priority and arrival."""
+    """Jobs by urgency: started ones first, then by priority and arrival.
 
-    def __init__(self) -> None:
-        self._jobs: list[jobstate.JobState] = []
-        self._members: set[int] = set()
-        self._is_sorted = True
+    Jobs that are being taken over from another holder are kept apart, since
+    they may not start tasks yet.
+    """
 
-    def __iter__(self) -> typing.Iterator[jobstate.JobState]:
-        return iter(self._jobs)
+    def __init__(self) -> None:
+        self._rows: list[tuple[_Key, jobstate.JobState]] = []
+        self._keys: dict[jobstate.JobState, _Key] = {}
+        self._taking_over: dict[jobstate.JobState, None] = {}
+        self._needs: list[tuple[int, int, jobstate.JobState]] = []
+        self._sequence = itertools.count()
 
     def __len__(self) -> int:
-        return len(self._jobs)
+        """Return the number of jobs that may start tasks."""
+        return len(self._keys)
 
     def add(self, state: jobstate.JobState) -> None:
-        """Add a job unless it is already queued."""
-        if id(state) not in self._members:
-            self._members.add(id(state))
-            self._jobs.append(state)
-        self._is_sorted = False
-
-    def ordered(self) -> list[jobstate.JobState]:
-        """Return the jobs with pending tasks, most urgent first."""
-        if not self._is_sorted:
-            kept = [s for s in self._jobs if s.pending and not s.is_finished]
-            if len(kept) < len(self._jobs):
-                self._members = {id(state) for state in kept}
-            kept.sort(key=_urgency)
-            self._jobs = kept
-            self._is_sorted = True
-        return self._jobs
-
-    def mark_changed(self) -> None:
-        """Mark the order stale: a job started, ended or has none pending."""
-        self._is_sorted = False
+        """Add a job with pending tasks, or update its place in the order."""
+        if state.is_taking_over:
+            self._keys.pop(state, None)
+            self._taking_over[state] = None
+            return
+        self._taking_over.pop(state, None)
+        is_unstarted = not state.is_started
+        former = self._keys.get(state)
+        if former is not None and former[0] == is_unstarted:
+            return
+        number = next(self._sequence)
+        key = (is_unstarted, state.job.priority, state.arrived_at, number)
+        self._keys[state] = key
+        bisect.insort(self._rows, (key, state))
+        if former is None:
+            heapq.heappush(self._needs, (state.min_cpu, number, state))
+        self._remove_stale_rows()
+
+    def remove(self, state: jobstate.JobState) -> None:
+        """Remove a job that has ended or has no pending tasks."""
+        self._keys.pop(state, None)
+        self._taking_over.pop(state, None)
+
+    def ordered(self) -> typing.Iterator[jobstate.JobState]:
+        """Iterate over the jobs that may start tasks, most urgent first.
+
+        Jobs that are added meanwhile are not included.
+        """
+        for key, state in list(self._rows):
+            if self._keys.get(state) == key:
+                yield state
+
+    def all_jobs(self) -> typing.Iterator[jobstate.JobState]:
+        """Iterate over all jobs, with those that are being taken over."""
+        return itertools.chain(self.ordered(), list(self._taking_over))
 
     def min_cpu(self) -> int:
-        """Return the smallest CPU need of any job's first pending task."""
-        return min(
-            (
-                state.job.steps[state.pending[0].id.step].room.cpu
-                for state in self.ordered()
-                # Adopting runs may have emptied the pending list since then.
-                if state.pending
-            ),
-            default=0,
-        )
-
-
-def _urgency(state: jobstate.JobState) -> tuple[bool, int, float]:
-    return (not state.is_started, state.job.priority, state.arrived_at)
+        """Return a lower bound of the CPU need of any pending task."""
+        while self._needs and self._needs[0][2] not in self._keys:
+            heapq.heappop(self._needs)
+        return self._needs[0][0] if self._needs else 0
+
+    def _remove_stale_rows(self) -> None:
+        if len(self._rows) > 2 * len(self._keys) + MAX_STALE_ROWS:
+            self._rows = [
+                row for row in self._rows if self._keys.get(row[1]) == row[0]
+            ]
+        if len(self._needs) > 2 * len(self._keys) + MAX_STALE_ROWS:
+            self._needs = [row for row in self._needs if row[2] in self._keys]
+            heapq.heapify(self._needs)
