--- /dev/null
+++ b/tests/test_backlog.py
@@ -0,0 +1,70 @@
+"""Tests of what callers get while the holder catches up after a gap."""
+
+import random
+
+import testtools
+
+from tests import test_baselines
+from tests import workerworld
+
+GAP_S = 0.6
+MEASURED_S = 2.0
+# Target: jobs that are late already don't make later ones late. The share is
+# of the value that these earn without the late ones.
+MAX_LOSS = 0.05
+
+
+def earned_after_gap(seed, *, has_backlog):
+    """Return the value earned by jobs that arrive after a gap.
+
+    :param has_backlog: whether jobs were submitted during the gap
+    """
+    rng = random.Random(seed)
+    world = workerworld.World(seed=seed, workers=test_baselines.WORKERS)
+    world.run(4.0)
+    start = world.now
+    arrivals = sorted(
+        (at, kind)
+        for kind in test_baselines.KINDS
+        for at in arrival_times(rng, kind.per_s, GAP_S + MEASURED_S)
+    )
+    world.run(GAP_S)
+    world.switch_holder(knows_all=True)
+    earned = []
+    for at, kind in arrivals:
+        is_late = at < GAP_S
+        if is_late and not has_backlog:
+            continue
+        world.run(max(0.0, start + at - world.now))
+        job = world.submit(
+            tasks=kind.tasks,
+            work_s=kind.work_s,
+            cpu=14_000,
+            priority=kind.priority,
+            waited_s=max(0.0, GAP_S - at),
+        )
+        if not is_late:
+            earned.append((job, kind, kind.work_s))
+    world.run(8.0)
+    return sum(test_baselines.earned_value(world, *row) for row in earned)
+
+
+def arrival_times(rng, per_s, until):
+    """Return random arrival times."""
+    times = []
+    at = rng.expovariate(per_s)
+    while at < until:
+        times.append(at)
+        at += rng.expovariate(per_s)
+    return times
+
+
+class BacklogTest(testtools.TestCase):
+    """Jobs that can still be in time go before those that can't."""
+
+    def test_late_jobs_of_a_gap_do_not_make_later_jobs_late(self):
+        with_backlog = without = 0.0
+        for seed in range(1, 6):
+            with_backlog += earned_after_gap(seed, has_backlog=True)
+            without += earned_after_gap(seed, has_backlog=False)
+        self.assertGreaterEqual(with_backlog, (1 - MAX_LOSS) * without)
--- a/tests/test_baselines.py
+++ b/tests/test_baselines.py
@@ -78,10 +78,10 @@
         arrivals.append((arrives_at + rng.expovariate(rate), kind))
     world.run(8.0)
     total_value = sum(kind.value for _, kind, _ in submitted)
-    return sum(_earned_value(world, *job) for job in submitted) / total_value
+    return sum(earned_value(world, *job) for job in submitted) / total_value
 
 
-def _earned_value(world, job, kind, work_s):
+def earned_value(world, job, kind, work_s):
     if world.outcome(job) is not work.Outcome.COMPLETED:
         return 0.0
     objective_s = STRETCH * work_s + TARGET_S
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -249,8 +249,12 @@
         target_ms=60,
         steps=None,
         entry=ENTRY,
+        waited_s=0.0,
     ):
-        """Submit a job; returns its id, None without a holder for it."""
+        """Submit a job; returns its id, None without a holder for it.
+
+        ``waited_s`` is how long its entry host has had it.
+        """
         holder = self.engine_of_entry.get(entry, self.engine)
         if holder is None:
             return None
@@ -272,7 +276,7 @@
         )
         self.jobs[job_id] = job
         self.run_times[job_id] = work_s
-        self.submitted_at[job_id] = self.now
+        self.submitted_at[job_id] = self.now - waited_s
         self.entry_of[job_id] = entry
         holder.offer(job, entry, self.now)
         self._execute_actions(holder)
