Holder: late jobs get free room before they are refused

Cause: a tick refused overdue jobs before it placed any, and a new holder refused jobs of the gap before the executors had listed their runs, when none is usable yet.

Evidence: two tests of test_backlog failed: a job of two 0.2 s tasks that had waited for 0.6 s was refused by a holder with 12 idle executors, both 0.1 s after it began and at once.

Change: a tick places jobs first and refuses afterwards. While less than half of the executors are usable, for 0.3 s from its beginning, a holder refuses only jobs whose answers would be worthless. Worthless jobs that no holder has had are not started.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -32,6 +32,9 @@
 # Larger executors can only appear when the deployment changes.
 NEVER_FITS_RETRY_MS = 60_000
 UNHEALTHY_PAUSE_S = 0.5
+# Executors are given this long to list their runs to a new holder, before
+# jobs are refused for want of room.
+FIRST_LISTS_S = 0.3
 # When ticks are further apart than this, answers may have arrived unread.
 MAX_TICK_INTERVAL_S = 0.05
 
@@ -56,6 +59,7 @@
     ) -> None:
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self.refusals = 0
+        self._began_at = now
         self._ticked_at = now
         # Distinct sizes of executors by service, None after a change.
         self._rooms: dict[ids.ServiceId, set[work.Room]] | None = None
@@ -396,8 +400,9 @@
                 self._reconciler.probe_starts(executor, now)
                 self._leases.poll_if_overdue(executor, now)
             self._maintain(executor, now)
-        self._refuse_overdue(now)
+        # Late jobs get room that is free rather than a refusal.
         self._starter.place(now)
+        self._refuse_overdue(now)
         self._job_table.purge(now)
 
     def _maintain(self, executor: executors.Executor, now: float) -> None:
@@ -444,10 +449,16 @@
         waiting_tasks = sum(len(state.pending) for state in unstarted)
         may_start = [e for e in self.executors.values() if e.may_start(now)]
         usable = len(may_start)
+        is_room_unknown = (
+            now - self._began_at < FIRST_LISTS_S
+            and usable < len(self.executors) / 2
+        )
         for state in unstarted:
             limit_s = waitlimit.wait_limit_s(
                 state, waiting_tasks=waiting_tasks, executors=usable
             )
+            if is_room_unknown and not state.is_worthless(now):
+                continue
             if now - state.arrived_at >= limit_s:
                 self.refusals += 1
                 _LOG.info(
--- a/chervilwheel/workers/jobstate.py
+++ b/chervilwheel/workers/jobstate.py
@@ -137,6 +137,10 @@
             return UrgencySpan(Urgency.LATE, useful_until)
         return UrgencySpan(Urgency.ON_TIME, on_time_until)
 
+    def is_worthless(self, now: float) -> bool:
+        """Whether its answer would be too late to be of use."""
+        return self.urgency(now).urgency is Urgency.WORTHLESS
+
     @property
     def is_finished(self) -> bool:
         """Whether its answer is final."""
--- a/chervilwheel/workers/starter.py
+++ b/chervilwheel/workers/starter.py
@@ -103,6 +103,8 @@
     ) -> None:
         if not self._is_entry_live(state.entry, attempt.now):
             return
+        if self._is_refusable(state, attempt.now):
+            return
         queue = self._job_table.waiting
         while state.pending:
             task = state.pending[0]
@@ -120,6 +122,12 @@
         else:
             queue.remove(state)
 
+    def _is_refusable(self, state: jobstate.JobState, now: float) -> bool:
+        """Return whether a job is too late to be started at all."""
+        if state.is_started or state.job.offers:
+            return False
+        return state.is_worthless(now)
+
     def _open_tasks(self, attempt: "_Attempt") -> set[work.TaskId]:
         """Return the tasks of which an earlier run may still be running."""
         if attempt.open_tasks is None:
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from chervilwheel.workers import work
 from tests import test_baselines
 from tests import workerworld
 
@@ -68,3 +69,28 @@
             with_backlog += earned_after_gap(seed, has_backlog=True)
             without += earned_after_gap(seed, has_backlog=False)
         self.assertGreaterEqual(with_backlog, (1 - MAX_LOSS) * without)
+
+    def test_late_jobs_of_a_gap_get_room_that_is_free(self):
+        world = workerworld.World(workers=test_baselines.WORKERS)
+        world.run(4.0 + GAP_S)
+        world.switch_holder(knows_all=True)
+        world.run(0.1)
+        job = world.submit(tasks=2, work_s=0.2, waited_s=GAP_S)
+        world.run(2.0)
+        self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
+
+    def test_late_jobs_are_not_refused_before_executors_answer(self):
+        world = workerworld.World(workers=test_baselines.WORKERS)
+        world.run(4.0 + GAP_S)
+        world.net.sample_delivery = lambda *_: ("ok", 0.02)
+        world.switch_holder(knows_all=True)
+        job = world.submit(tasks=2, work_s=0.2, waited_s=GAP_S)
+        world.run(2.0)
+        self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
+
+    def test_worthless_jobs_of_a_gap_are_refused(self):
+        world = workerworld.World(workers=test_baselines.WORKERS)
+        world.run(4.0)
+        job = world.submit(tasks=2, work_s=0.06, waited_s=GAP_S)
+        world.run(0.1)
+        self.assertIs(work.Outcome.REFUSED, world.outcome(job))
