--- a/tests/hostworld.py
+++ b/loadtool/hostworld.py
@@ -4,11 +4,14 @@
 clocks are simulated.
 """
 
+import collections
 import contextlib
 import logging
 import pathlib
 import tempfile
+import time
 import types
+import typing
 
 from chervilwheel import addresses
 from chervilwheel import clock
@@ -60,19 +63,22 @@
         self.unsent_bytes = 0
         self.other = None
         self._network = network
-        self._host = host
+        self.host = self._host = host
 
     def send(self, data):
+        """Send data to the other end."""
         other = self.other
         self._network.later(
             self._host, lambda: other.receive(data) if other else None
         )
 
     def receive(self, data):
+        """Pass received data to the owner."""
         if not self.is_closed and self._host in self._network.running:
-            self.on_data(data)
+            self._network.run_on(self._host, lambda: self.on_data(data))
 
     def close(self):
+        """Close this end; the other end is told later."""
         if self.is_closed:
             return
         self.is_closed = True
@@ -80,25 +86,38 @@
             self._network.later(self._host, self.other.abort)
 
     def abort(self):
+        """Close and call ``on_closed``."""
         if not self.is_closed and self._host in self._network.running:
             self.close()
-            self.on_closed()
+            self._network.run_on(self._host, self.on_closed)
 
 
 class Network:
-    """Connects the streams of the hosts that run."""
+    """Connects the streams of the hosts that run.
+
+    :ivar cpu_s: processor time used by each host's callbacks, seconds
+    """
 
     def __init__(self, heap):
         self.heap = heap
         self.acceptors = {}
         self.running = set()
         self.connects = 0
+        self.cpu_s = collections.defaultdict(float)
+
+    def run_on(self, host, callback):
+        """Run a callback of a host and charge it for the time."""
+        began_s = time.process_time()
+        callback()
+        self.cpu_s[host] += time.process_time() - began_s
 
     def later(self, host, callback):
+        """Run a callback after the latency unless the host has stopped."""
         if host in self.running:
             self.heap.call_later(LATENCY_S, callback)
 
     def connect(self, host, address):
+        """Connect to an address; silent if its host has stopped."""
         self.connects += 1
         near, far = Stream(self, host), Stream(self, address.host)
         near.other, far.other = far, near
@@ -110,9 +129,10 @@
             return
         if not near.is_closed:
             near.is_open = far.is_open = True
-            self.acceptors[address.host](far)
+            accept = self.acceptors[address.host]
+            self.run_on(address.host, lambda: accept(far))
             if near.on_open is not None:
-                near.on_open()
+                self.run_on(near.host, near.on_open)
 
 
 class Loop:
@@ -123,9 +143,11 @@
         self._host = host
 
     def connect(self, address):
+        """Start to connect."""
         return self._network.connect(self._host, address)
 
     def listen(self, address, acceptor):
+        """Accept connections."""
         self._network.acceptors[self._host] = acceptor
 
 
@@ -138,12 +160,16 @@
         self._host = host
 
     def call_at(self, when, callback):
+        """Run a callback at a time in seconds."""
         return self._network.heap.call_at(when, self._guard(callback))
 
     def call_later(self, seconds, callback):
+        """Run a callback after a number of seconds."""
         return self.call_at(self.clock.now() + seconds, callback)
 
     def call_every(self, seconds, callback):
+        """Run a callback periodically."""
+
         def run():
             self.call_later(seconds, run)
             callback()
@@ -153,7 +179,7 @@
     def _guard(self, callback):
         def run():
             if self._host in self._network.running:
-                callback()
+                self._network.run_on(self._host, callback)
 
         return run
 
@@ -163,9 +189,18 @@
 
     :param controls: number of control hosts
     :param entries: number of entry hosts
+    :param make_port: makes a host's port to the executors from its timers
     """
 
-    def __init__(self, *, controls, entries):
+    def __init__(
+        self,
+        *,
+        controls: int,
+        entries: int,
+        make_port: typing.Callable[[typing.Any], ports.ExecutorPort] = (
+            lambda _heap: SilentPort()
+        ),
+    ) -> None:
         self._stack = contextlib.ExitStack()
         self._folder = pathlib.Path(
             self._stack.enter_context(tempfile.TemporaryDirectory())
@@ -181,16 +216,17 @@
         for host in seeds:
             node = self._node(host, "control", seeds)
             self.controls[host] = controlhost.ControlHost(
-                node=node, decoder=EmptyDecoder(), port=SilentPort()
+                node=node, decoder=EmptyDecoder(), port=make_port(node.heap)
             )
         for number in range(entries):
             host = f"10.1.0.{number + 1}"
             node = self._node(host, "entry", seeds)
             self.entries[host] = entryhost.EntryHost(
-                node=node, decoder=EmptyDecoder(), port=SilentPort()
+                node=node, decoder=EmptyDecoder(), port=make_port(node.heap)
             )
 
     def close(self):
+        """Remove the data of all hosts."""
         logging.disable(logging.NOTSET)
         self._stack.close()
 
@@ -266,6 +302,15 @@
             left_s = end - self.clock.now()
             self.clock.advance(min(wait_s or left_s, left_s) + 1e-6)
 
+    def holder(self):
+        """Return the host that is the holder, None without one."""
+        hosts = {**self.controls, **self.entries}
+        for name, host in hosts.items():
+            role = getattr(host, "holder_role", None)
+            if role is not None and role.is_active:
+                return name
+        return None
+
     def put_document(self, version):
         """Store a document at a control host."""
         results = []
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -5,7 +5,7 @@
 from chervilwheel import addresses
 from chervilwheel import ids
 from chervilwheel.workers import work
-from tests import hostworld
+from loadtool import hostworld
 
 # The target: what a host costs hardly grows with the number of hosts.
 MAX_GROWTH = 1.1
