--- a/tests/test_workerpath.py
+++ b/tests/test_workerpath.py
@@ -249,11 +249,25 @@
         running = {}
         for _, event, worker, task, run, _end_kind in sorted(rows):
             if event == "start":
-                self.assertNotIn(task, running, f"{task} on two workers")
+                if task in running:
+                    self.fail(self.describe_runs(rows, task))
                 running[task] = (worker, run)
             elif running.get(task) == (worker, run):
                 del running[task]
 
+    def describe_runs(self, rows, task):
+        """Return a task's events, and the log lines about its job."""
+        lines = [f"{task} on two workers"]
+        lines.extend(str(row) for row in sorted(rows) if row[3] == task)
+        job = task.partition(".")[0]
+        for path in sorted(self.cluster.folder.glob("*.log")):
+            lines.extend(
+                f"{path.name}: {line}"
+                for line in path.read_text().splitlines()
+                if job in line or "holding:" in line
+            )
+        return "\n".join(lines)
+
     def test_jobs_are_served_despite_the_loss_of_the_holder(self):
         served = {}
         threads = self.submit_concurrently(40, served)
