Control hosts: log members of the group, bytes by kind and unsent bytes

Change: a line 'group: status changed' with role, term, leader, voters, learners, committed and last index; 'runtime: load' names bytes sent by kind of message and bytes not sent yet; metrics commit, voters, learners, peer_unsent_bytes and peer_bytes_sent_KIND. No logic changed.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -220,6 +220,9 @@
         registry = self._node.metrics
         registry.register("is_holder", lambda: self.holder_role.is_active)
         registry.register("term", lambda: self.member.term)
+        registry.register("commit", lambda: self.member.commit)
+        registry.register("voters", lambda: len(self.member.config.voters))
+        registry.register("learners", lambda: len(self.member.config.learners))
         registry.register("executors", lambda: len(self._reports))
         registry.register("document_version", lambda: self.machine.version)
         registry.register("syncs", lambda: self._group.syncs)
--- a/chervilwheel/control/runtime.py
+++ b/chervilwheel/control/runtime.py
@@ -73,6 +73,7 @@
         self._signals: list[int] = []
         self._last_sent: collections.Counter[str] = collections.Counter()
         self._last_received: collections.Counter[str] = collections.Counter()
+        self._last_sent_bytes: collections.Counter[str] = collections.Counter()
         self._stack = contextlib.ExitStack()
         self._stack.callback(self.loop.close)
         self._stack.callback(self.links.close)
@@ -105,8 +106,12 @@
     def _register_metrics(self) -> None:
         links = self.links
         self.metrics.register("peer_bytes_sent", lambda: links.bytes_sent)
+        self.metrics.register("peer_unsent_bytes", lambda: links.unsent_bytes)
         self.metrics.register("peer_links", lambda: links.link_count)
         self.metrics.register_table("peer_sent_", lambda: links.sent_by_kind)
+        self.metrics.register_table(
+            "peer_bytes_sent_", lambda: links.bytes_by_kind
+        )
         self.metrics.register_table(
             "peer_received_", lambda: links.received_by_kind
         )
@@ -116,6 +121,7 @@
         load = self._load.report()
         sent = collections.Counter(self.links.sent_by_kind)
         received = collections.Counter(self.links.received_by_kind)
+        sent_bytes = collections.Counter(self.links.bytes_by_kind)
         _LOG.info(
             "runtime: load",
             extra={
@@ -126,9 +132,12 @@
                 "links": self.links.link_count,
                 "sent": dict(sent - self._last_sent),
                 "received": dict(received - self._last_received),
+                "sent_bytes": dict(sent_bytes - self._last_sent_bytes),
+                "unsent_bytes": self.links.unsent_bytes,
             },
         )
         self._last_sent, self._last_received = sent, received
+        self._last_sent_bytes = sent_bytes
 
     def _serve_metrics(self) -> None:
         def answer(exchange: server.Exchange) -> None:
--- a/chervilwheel/grouphost.py
+++ b/chervilwheel/grouphost.py
@@ -55,6 +55,16 @@
     respond: Respond
 
 
+class _Status(typing.NamedTuple):
+    """What is logged about the replica when it changes."""
+
+    role: str
+    term: int
+    leader: str
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+
+
 class GroupHost:
     """Run one replica of one group.
 
@@ -105,6 +115,7 @@
         self._deferred: list[replica.Entry] = []
         self._flushed_at = heap.clock.now()
         self._log_time_base = (0, heap.clock.now())
+        self._logged_status: _Status | None = None
         machine.load(member.log.snapshot.data)
         heap.call_every(TICK_S, self._tick)
         self._schedule_pump()
@@ -166,6 +177,7 @@
                 self._propose_queued()
             while self._step():
                 pass
+            self._log_status()
             self._compact_if_large()
         except errors.ChervilwheelError as exc:
             self._halt(exc)
@@ -221,6 +233,34 @@
             self._apply(entry)
         return True
 
+    def _log_status(self) -> None:
+        """Log the role, term and members of the replica after a change."""
+        member = self.member
+        if member.role in (
+            replica.Role.PRE_CANDIDATE,
+            replica.Role.CANDIDATE,
+        ):
+            return
+        status = _Status(
+            member.role.value,
+            member.term,
+            member.leader.name if member.leader else "",
+            tuple(each.name for each in member.config.voters),
+            tuple(each.name for each in member.config.learners),
+        )
+        if status == self._logged_status:
+            return
+        self._logged_status = status
+        _LOG.info(
+            "group: status changed",
+            extra={
+                "group": self.group,
+                **status._asdict(),
+                "commit": member.commit,
+                "last": member.log.last_index,
+            },
+        )
+
     def _may_defer(self, actions: replica.Actions) -> bool:
         """Whether the local sync of these entries may be deferred.
 
--- a/chervilwheel/peers.py
+++ b/chervilwheel/peers.py
@@ -89,6 +89,11 @@
             return
         self._send(message)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that the network hasn't accepted yet."""
+        return self._stream.unsent_bytes
+
     def close(self) -> None:
         """Close without calling the lost-link callbacks."""
         self._stream.close()
@@ -100,7 +105,9 @@
         self.last_sent_at = self._owner.heap.clock.now()
         self._owner.bytes_sent += len(data) + _LENGTH.size
         self._owner.messages_sent += 1
-        self._owner.sent_by_kind[type(message).__name__] += 1
+        kind = type(message).__name__
+        self._owner.sent_by_kind[kind] += 1
+        self._owner.bytes_by_kind[kind] += len(data) + _LENGTH.size
         self._stream.send(_LENGTH.pack(len(data)) + data)
 
     def _on_data(self, data: bytes) -> None:
@@ -233,6 +240,7 @@
         self.is_cut = is_cut
         self.messages_sent = 0
         self.sent_by_kind: collections.Counter[str] = collections.Counter()
+        self.bytes_by_kind: collections.Counter[str] = collections.Counter()
         self.received_by_kind: collections.Counter[str] = collections.Counter()
         self.heap = heap
         self.bytes_sent = 0
@@ -286,6 +294,12 @@
         )
         return outgoing + len(self._incoming)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that wait in the send buffers of all links."""
+        opened = [each.link for each in self._outgoing.values() if each.link]
+        return sum(link.unsent_bytes for link in [*opened, *self._incoming])
+
     def is_linked(self, peer: ids.InstanceId) -> bool:
         """Whether the link to a peer is up."""
         outgoing = self._outgoing.get(peer)
