Tests of document pushes and of successors' votes, known to fail

Evidence: the tests fail on the logic of: 96 pushes of one document to 6 entry hosts; 27.4 MB an entry host for ten changes of one route among 4,200 (allowed: a tenth of its link, 0.5 MB); such a change isn't in force after 2 s and takes 511 KB of log a host; a successor has no vote 4 s after its start, nor after a restart of the leader; a voter replaced while away never joins again. Change: tests only, listed in KNOWN-RED.txt; the in-memory network of the load tool has links of limited capacity.

--- a/loadtool/hostworld.py
+++ b/loadtool/hostworld.py
@@ -80,7 +80,11 @@
         other = self.other
         if other is None or self._network.is_cut(self._host, other.host):
             return
-        self._network.later(self._host, lambda: other.receive(data))
+        self._network.later(
+            self._host,
+            lambda: other.receive(data),
+            extra_s=self._network.transmission_s(other.host, len(data)),
+        )
 
     def receive(self, data):
         """Pass received data to the owner."""
@@ -110,6 +114,8 @@
 
     :ivar cpu_s: processor time used by each host's callbacks, seconds
     :ivar cuts: pairs of hosts between which data is lost
+    :ivar link_rates: capacity of hosts' incoming links, bytes/s; others are
+        unlimited
     """
 
     def __init__(self, heap):
@@ -119,6 +125,21 @@
         self.connects = 0
         self.cpu_s = collections.defaultdict(float)
         self.cuts = set()
+        self.link_rates = {}
+        self._link_free_at = collections.defaultdict(float)
+
+    def transmission_s(self, host, size):
+        """Occupy a host's incoming link; return when it is received.
+
+        :returns: seconds from now
+        """
+        rate = self.link_rates.get(host)
+        if rate is None:
+            return 0.0
+        now = self.heap.clock.now()
+        free_at = max(now, self._link_free_at[host]) + size / rate
+        self._link_free_at[host] = free_at
+        return free_at - now
 
     def is_cut(self, host, other):
         """Return whether data between two hosts is lost."""
@@ -130,10 +151,13 @@
         callback()
         self.cpu_s[host] += time.process_time() - began_s
 
-    def later(self, host, callback):
-        """Run a callback after the latency unless the host has stopped."""
+    def later(self, host, callback, *, extra_s=0.0):
+        """Run a callback after the latency unless the host has stopped.
+
+        :param extra_s: delay beyond the latency, seconds
+        """
         if host in self.running:
-            self.heap.call_later(LATENCY_S, callback)
+            self.heap.call_later(LATENCY_S + extra_s, callback)
 
     def connect(self, host, address):
         """Connect to an address; silent if its host has stopped."""
@@ -211,6 +235,7 @@
     :param controls: number of control hosts
     :param entries: number of entry hosts
     :param make_port: makes a host's port to the executors from its timers
+    :param decoder: parses documents
     """
 
     def __init__(
@@ -221,7 +246,9 @@
         make_port: typing.Callable[[typing.Any], ports.ExecutorPort] = (
             lambda _heap: SilentPort()
         ),
+        decoder: documents.Decoder | None = None,
     ) -> None:
+        decoder = decoder or EmptyDecoder()
         self._stack = contextlib.ExitStack()
         self._folder = pathlib.Path(
             self._stack.enter_context(tempfile.TemporaryDirectory())
@@ -239,14 +266,14 @@
             node = self._node(host, "control", seeds)
             self.ports[host] = make_port(node.heap)
             self.controls[host] = controlhost.ControlHost(
-                node=node, decoder=EmptyDecoder(), port=self.ports[host]
+                node=node, decoder=decoder, port=self.ports[host]
             )
         for number in range(entries):
             host = f"10.1.0.{number + 1}"
             node = self._node(host, "entry", seeds)
             self.ports[host] = make_port(node.heap)
             self.entries[host] = entryhost.EntryHost(
-                node=node, decoder=EmptyDecoder(), port=self.ports[host]
+                node=node, decoder=decoder, port=self.ports[host]
             )
 
     def close(self):
@@ -347,12 +374,37 @@
 
     def put_document(self, version):
         """Store a document at a control host."""
+        return self.put_data(b"%d" % version, wait_s=1.0)
+
+    def put_data(self, data, *, wait_s):
+        """Store a document at a control host that isn't the holder.
+
+        :param wait_s: time to wait for its acknowledgement, seconds
+        :returns: whether it was acknowledged
+        """
         results = []
-        control = next(iter(self.controls.values()))
-        control.put(b"%d" % version, results.append)
-        self.run(1.0)
+        holder = self.holder()
+        control = next(
+            control
+            for name, control in self.controls.items()
+            if name != holder
+        )
+        control.put(data, results.append)
+        self.run(wait_s)
         return results == [True]
 
+    def bytes_sent(self, kind):
+        """Sum the bytes of one kind of message sent by all hosts."""
+        return sum(
+            node.links.bytes_by_kind[kind] for node in self.nodes.values()
+        )
+
+    def messages_sent(self, kind):
+        """Count the messages of one kind sent by all hosts."""
+        return sum(
+            node.links.sent_by_kind[kind] for node in self.nodes.values()
+        )
+
     def messages(self, host):
         """Count the messages that a host has sent and received."""
         links = self.nodes[host].links
