Replica: a successor has a vote within the time to catch up

Class: a wait for silence that is longer than the time until the next fault may come. It was long so that a host that only restarts keeps its vote, because a replaced one never came back: its log lacked its removal, so it campaigned for ever instead of joining. Change: 2 s of silence; the leader adds a former voter that campaigns as a learner, with its log, and promotes it when a vote is free.

--- a/chervilwheel/replica.py
+++ b/chervilwheel/replica.py
@@ -24,9 +24,9 @@
 # The lease is shorter than the election timeout to allow for clocks that
 # run at different speeds; hosts' clocks differ by far less than 10 %.
 LEASE_FRACTION = 0.9
-# Longer than a restart takes, so that a voter that is only restarting is
-# not replaced.
-REPLACE_VOTER_AFTER_S = 8.0
+# Longer than the restart of a process. A voter that is replaced while it is
+# away joins again, so this need not cover longer absences.
+REPLACE_VOTER_AFTER_S = 2.0
 
 Entry = _replicalog.Entry
 EntryKind = _replicalog.EntryKind
@@ -278,6 +278,9 @@
             return
         if message.to != self.me:
             return
+        if self._is_from_former_voter(message):
+            self._on_join(JoinRequest(self.group, message.sender), now)
+            return
         self._last_message_at[message.sender] = now
         is_pre_vote = (
             isinstance(message, VoteRequest | VoteReply) and message.is_pre
@@ -298,6 +301,21 @@
         }
         handlers[type(message)](message, now)
 
+    def _is_from_former_voter(self, message: Message) -> bool:
+        """Whether a voter that was replaced while away campaigns.
+
+        Its log may lack the change of the config, so that it still takes
+        itself for a voter and sends no join requests.
+        """
+        return (
+            self.is_leader
+            and isinstance(message, VoteRequest)
+            and not any(
+                member.name == message.sender.name
+                for member in self.config.members
+            )
+        )
+
     def _require_leader(self) -> None:
         if not self.is_leader:
             leader = self.leader.name if self.leader else ""
