Documents: send and log the difference to the version before

Class: the cost of a change is a product of routes, changes and hosts. Change: deltas.py finds the records that two versions share; a command holds the delta to the version that its host has applied, and the whole document, compressed, if another version was committed meanwhile. Replicas keep the last deltas and send those that an entry host lacks, or the whole document, compressed. A read doesn't return a document that the reader has. A version that is applied already is acknowledged without a log entry.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -12,6 +12,7 @@
 from chervilwheel import messages
 from chervilwheel import peers
 from chervilwheel import replica
+from chervilwheel.control import deltas
 from chervilwheel.control import documents
 from chervilwheel.control import founding
 from chervilwheel.control import groupcalls
@@ -115,21 +116,55 @@
         :raises errors.InvalidSettings: when it is not valid
         """
         document = self._decoder.decode(data)
-        command = documents.CODEC.encode(
-            documents.PutDocument(document.version, data)
-        )
 
-        def answered(reply: bytes | None) -> None:
+        def stored(is_committed: bool) -> None:
             _LOG.info(
                 "control: document write finished",
                 extra={
                     "version": document.version,
-                    "committed": reply is not None,
+                    "committed": is_committed,
                 },
             )
-            done(reply is not None)
+            done(is_committed)
 
-        self._calls.call(command, OPERATOR_TIMEOUT_S, answered)
+        if document.version <= self.machine.version:
+            # Applied versions are committed.
+            stored(True)
+            return
+        deadline = self._heap.clock.now() + OPERATOR_TIMEOUT_S
+        self._store(document, self.machine.version, deadline, stored)
+
+    def _store(
+        self,
+        document: documents.Document,
+        base: int,
+        deadline: float,
+        done: typing.Callable[[bool], None],
+    ) -> None:
+        """Commit a document as a difference to a version.
+
+        :param base: the version that this host has applied, 0 to store the
+            whole document
+        """
+        base_data = self.machine.data if base else b""
+        command = documents.CODEC.encode(
+            documents.ChangeDocument(
+                document.version,
+                base,
+                deltas.encode(base_data, document.data),
+            )
+        )
+
+        def answered(reply: bytes | None) -> None:
+            if reply is None:
+                done(False)
+            elif documents.CODEC.decode(reply).version >= document.version:
+                done(True)
+            else:
+                # Another version was committed since.
+                self._store(document, 0, deadline, done)
+
+        self._calls.call(command, deadline - self._heap.clock.now(), answered)
 
     def read(
         self, done: typing.Callable[[documents.DocumentReply | None], None]
@@ -138,13 +173,19 @@
 
         :param done: receives the document, None after a timeout
         """
-        command = documents.CODEC.encode(documents.ReadDocument())
+        known = self.machine.version
+        command = documents.CODEC.encode(documents.ReadDocument(known))
 
         def answered(reply: bytes | None) -> None:
             if reply is None:
                 done(None)
-            else:
-                done(documents.CODEC.decode(reply))
+                return
+            document = documents.CODEC.decode(reply)
+            if document.version == known:
+                document = documents.DocumentReply(
+                    self.machine.version, self.machine.data
+                )
+            done(document)
 
         self._calls.call(command, OPERATOR_TIMEOUT_S, answered)
 
@@ -346,8 +387,12 @@
         receiver = self._pushes.due(entry, version, now)
         if receiver is None:
             return
-        self._pushes.record_push(receiver.link, version=version, now=now)
-        receiver.link.send(messages.DocumentPush(version, self.machine.data))
+        self._pushes.record_push(entry, now)
+        receiver.link.send(
+            messages.DocumentPush(
+                version, *self.machine.deltas_since(receiver.base)
+            )
+        )
 
     def _status(self) -> messages.ControlNews:
         holder_name = ids.InstanceId("")
--- a/chervilwheel/control/documents.py
+++ b/chervilwheel/control/documents.py
@@ -1,13 +1,18 @@
 """The configuration of a deployment, a replicated and versioned document."""
 
 import abc
+import collections
+import logging
 import typing
 
 from chervilwheel import batches
 from chervilwheel import codec
+from chervilwheel import errors
 from chervilwheel import grouphost
 from chervilwheel import ids
+from chervilwheel.control import deltas
 
+_LOG = logging.getLogger("control")
 GROUP = "document"
 
 
@@ -79,12 +84,29 @@
     data: bytes
 
 
+class ChangeDocument(typing.NamedTuple):
+    """Store a newer document as a difference to the stored one.
+
+    :ivar base: the version that the delta applies to, 0 for any. The command
+        has no effect if another version is stored.
+    """
+
+    version: int
+    base: int
+    delta: bytes
+
+
 class ReadDocument(typing.NamedTuple):
-    """Read the newest document."""
+    """Read the newest document.
+
+    :ivar known: a version that the reader has; its data isn't returned
+    """
+
+    known: int = 0
 
 
 class DocumentReply(typing.NamedTuple):
-    """The newest version; ``data`` for a read only."""
+    """The newest version; ``data`` only if a reader doesn't have it."""
 
     version: int
     data: bytes
@@ -93,12 +115,23 @@
 CODEC = codec.Codec(
     schema="records.capnp",
     root="Record",
-    kinds=[PutDocument, ReadDocument, DocumentReply],
+    kinds=[PutDocument, ChangeDocument, ReadDocument, DocumentReply],
 )
 
+# A chain of deltas that is longer than this is replaced by the whole document.
+MAX_CHAIN_BYTES = 65_536
+MAX_CHAIN_DELTAS = 64
+
 Applied = typing.Callable[[int, bytes], None]
 
 
+class _Step(typing.NamedTuple):
+    """A delta from one version to the next one stored."""
+
+    base: int
+    delta: bytes
+
+
 class DocumentMachine(grouphost.Machine):
     """State machine that stores the newest document.
 
@@ -110,6 +143,9 @@
         self.data = b""
         self._applied = applied
         self._last_wall_ms = 0
+        self._steps: collections.deque[_Step] = collections.deque()
+        self._steps_bytes = 0
+        self._whole: tuple[int, bytes] = (0, b"")
 
     @property
     def last_wall_ms(self) -> int:
@@ -125,6 +161,22 @@
             for each in batch.commands
         ]
 
+    def deltas_since(self, version: int) -> tuple[int, tuple[bytes, ...]]:
+        """Return the deltas that lead to the newest version.
+
+        :param version: the version that the receiver has, 0 for none
+        :returns: the version that they start from, which is the given one or
+            0, and the deltas
+        """
+        bases = [step.base for step in self._steps]
+        if version and version in bases:
+            first = bases.index(version)
+            chain = [step.delta for step in self._steps]
+            return version, tuple(chain[first:])
+        if self._whole[0] != self.version:
+            self._whole = (self.version, deltas.encode(b"", self.data))
+        return 0, (self._whole[1],)
+
     def dump(self) -> bytes:
         """Encode the newest document."""
         return CODEC.encode(DocumentReply(self.version, self.data))
@@ -140,10 +192,51 @@
         if isinstance(command, PutDocument):
             self._store_if_newer(command.version, command.data)
             return DocumentReply(self.version, b"")
-        return DocumentReply(self.version, self.data)
+        if isinstance(command, ChangeDocument):
+            self._change(command)
+            return DocumentReply(self.version, b"")
+        is_known = command.known == self.version
+        return DocumentReply(self.version, b"" if is_known else self.data)
+
+    def _change(self, command: ChangeDocument) -> None:
+        if command.version <= self.version:
+            return
+        if command.base not in (0, self.version):
+            return
+        base = self.data if command.base else b""
+        try:
+            data = deltas.decode(base, command.delta)
+        except errors.ProtocolError as exc:
+            _LOG.error(
+                "control: invalid delta of a document",
+                extra={"version": command.version, "error": exc.detail},
+            )
+            return
+        if command.base:
+            self._add_step(_Step(command.base, command.delta))
+        else:
+            self._clear_steps()
+        self._store(command.version, data)
 
     def _store_if_newer(self, version: int, data: bytes) -> None:
         if version > self.version:
-            self.version = version
-            self.data = data
-            self._applied(version, data)
+            self._clear_steps()
+            self._store(version, data)
+
+    def _store(self, version: int, data: bytes) -> None:
+        self.version = version
+        self.data = data
+        self._applied(version, data)
+
+    def _add_step(self, step: _Step) -> None:
+        self._steps.append(step)
+        self._steps_bytes += len(step.delta)
+        while len(self._steps) > 1 and (
+            self._steps_bytes > MAX_CHAIN_BYTES
+            or len(self._steps) > MAX_CHAIN_DELTAS
+        ):
+            self._steps_bytes -= len(self._steps.popleft().delta)
+
+    def _clear_steps(self) -> None:
+        self._steps.clear()
+        self._steps_bytes = 0
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -9,6 +9,7 @@
 from chervilwheel import ids
 from chervilwheel import messages
 from chervilwheel import peers
+from chervilwheel.control import deltas
 from chervilwheel.control import documents
 from chervilwheel.control import entryjobs
 from chervilwheel.control import holding
@@ -450,14 +451,20 @@
     def _on_document(
         self, link: peers.MessageLink, push: messages.DocumentPush
     ) -> None:
-        if push.version > self._version():
+        is_newer = push.version > self._version()
+        if is_newer and push.base in (0, self._version()):
             self._apply_document(push)
         # Acknowledges the push, so that a newer document may follow.
         link.send(self._heartbeat())
 
     def _apply_document(self, push: messages.DocumentPush) -> None:
+        data = b""
+        if push.base and self.routes is not None:
+            data = self.routes.document.data
         try:
-            document = self._decoder.decode(push.data)
+            for delta in push.deltas:
+                data = deltas.decode(data, delta)
+            document = self._decoder.decode(data)
         except errors.ChervilwheelError as exc:
             _LOG.error(
                 "entry: invalid document",
--- a/chervilwheel/control/pushes.py
+++ b/chervilwheel/control/pushes.py
@@ -16,21 +16,25 @@
 
 
 class _Push(typing.NamedTuple):
-    """A document on its way to an entry host."""
+    """A document on its way to an entry host.
+
+    :ivar applied: the version that the entry host had applied before
+    """
 
     link: peers.MessageLink
-    version: int
+    applied: int
     sent_at: float
 
 
 class Receiver(typing.NamedTuple):
     """An entry host that relies on this host for documents.
 
-    :ivar version: the version that it has applied, 0 for none
+    :ivar base: the version that it has applied, 0 if it has none or must be
+        sent a whole document
     """
 
     link: peers.MessageLink
-    version: int
+    base: int
 
 
 class PushTracker:
@@ -49,8 +53,9 @@
         """
         entry = link.peer
         push = self._pushes.get(entry)
-        is_stale = push is not None and push.link is not link
-        if is_stale or (push is not None and version >= push.version):
+        if push is not None and (
+            push.link is not link or push.applied != version
+        ):
             del self._pushes[entry]
         if is_receiver:
             self._receivers[entry] = Receiver(link, version)
@@ -75,16 +80,16 @@
         :param now: monotonic time, seconds
         """
         receiver = self._receivers.get(entry)
-        if receiver is None or receiver.version >= version:
+        if receiver is None or receiver.base >= version:
             return None
-        return None if self._is_busy(entry, now) else receiver
-
-    def record_push(
-        self, link: peers.MessageLink, *, version: int, now: float
-    ) -> None:
-        """Record that a version was sent to an entry host."""
-        self._pushes[link.peer] = _Push(link, version, now)
-
-    def _is_busy(self, entry: ids.InstanceId, now: float) -> bool:
         push = self._pushes.get(entry)
-        return push is not None and now - push.sent_at < ACK_TIMEOUT_S
+        if push is None:
+            return receiver
+        if now - push.sent_at < ACK_TIMEOUT_S:
+            return None
+        return receiver._replace(base=0)
+
+    def record_push(self, entry: ids.InstanceId, now: float) -> None:
+        """Record that a document was sent to an entry host."""
+        receiver = self._receivers[entry]
+        self._pushes[entry] = _Push(receiver.link, receiver.base, now)
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -399,10 +399,15 @@
 
 
 class DocumentPush(typing.NamedTuple):
-    """A committed configuration document."""
+    """A committed configuration document.
+
+    :ivar base: the version that the first delta applies to, 0 for none
+    :ivar deltas: differences that lead to the version, one after the other
+    """
 
     version: int
-    data: bytes
+    base: int
+    deltas: tuple[bytes, ...]
 
 
 class Relayed(typing.NamedTuple):
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -340,7 +340,11 @@
 
 struct Relayed { sender @0 :Text; receiver @1 :Text; data @2 :Data; }
 
-struct DocumentPush { version @0 :UInt64; data @1 :Data; }
+struct DocumentPush {
+  version @0 :UInt64;
+  base @1 :UInt64;
+  deltas @2 :List(Data);
+}
 
 struct Peer {
   union {
--- a/chervilwheel/schema/records.capnp
+++ b/chervilwheel/schema/records.capnp
@@ -155,9 +155,18 @@
 }
 
 struct PutDocument { version @0 :UInt64; data @1 :Data; }
-struct ReadDocument { unused @0 :Void; }
+struct ReadDocument { unused @0 :Void; known @1 :UInt64; }
 struct DocumentReply { version @0 :UInt64; data @1 :Data; }
 
+struct ChangeDocument {
+  version @0 :UInt64;
+  base @1 :UInt64;
+  delta @2 :Data;
+}
+
+struct Splice { start @0 :UInt64; size @1 :UInt64; inserted @2 :Data; }
+struct Delta { splices @0 :List(Splice); checksum @1 :UInt32; }
+
 struct Record {
   union {
     header @0 :Header;
@@ -183,5 +192,7 @@
     putDocument @20 :PutDocument;
     readDocument @21 :ReadDocument;
     documentReply @22 :DocumentReply;
+    changeDocument @23 :ChangeDocument;
+    delta @24 :Delta;
   }
 }
--- a/tests/test_documentcost.py
+++ b/tests/test_documentcost.py
@@ -35,16 +35,22 @@
     return b"%d\n[" % version + b",".join(rows) + b"]"
 
 
+def start_world(test):
+    """Start hosts of which the entry hosts have small links."""
+    world = hostworld.World(
+        controls=CONTROLS, entries=ENTRIES, decoder=LineDecoder()
+    )
+    test.addCleanup(world.close)
+    for host in world.entries:
+        world.network.link_rates[host] = LINK_BYTES_S
+    world.run(3.0)
+    return world
+
+
 class DocumentCostTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.world = hostworld.World(
-            controls=CONTROLS, entries=ENTRIES, decoder=LineDecoder()
-        )
-        self.addCleanup(self.world.close)
-        for host in self.world.entries:
-            self.world.network.link_rates[host] = LINK_BYTES_S
-        self.world.run(3.0)
+        self.world = start_world(self)
 
     def versions(self):
         """Return the version that each entry host has applied."""
