Control hosts: compact the log after 128 KB instead of 2 MB

A change now takes some 500 bytes of log, so 2 MB would hold 4,000 changes, and a host that restarts applies each of them to the document before it serves. Change: compaction after 128 KB. The load tool measures the cost of a change by routes and entry hosts (python -m loadtool.document_cost); EntryHost's document version is public for it.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -37,7 +37,8 @@
 MAX_REPORT_AGE_S = 60.0
 # Below the 1 s that the operator's client waits for an answer.
 OPERATOR_TIMEOUT_S = 0.9
-COMPACT_BYTES = 2 * 1024 * 1024
+# A restart replays what is not compacted; a change takes some 500 bytes.
+COMPACT_BYTES = 128 * 1024
 LEADERSHIP_TRANSFER_S = 1.0
 
 
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -100,14 +100,16 @@
             node=node,
             send=self._relays.send,
             holder_role=self._holder_role,
-            version=self._version,
+            version=lambda: self.document_version,
         )
         self._holder_seen_at = 0.0
         self._control_seen_at = 0.0
         self._suspect_since: float | None = None
         self._counts: dict[str, int] = {}
         self._heartbeats_sent = 0
-        node.metrics.register("document_version", self._version)
+        node.metrics.register(
+            "document_version", lambda: self.document_version
+        )
         for address in node.cfg.seeds:
             self._control_hosts.add(node.add_host(address.host))
         links = node.links
@@ -144,8 +146,9 @@
         """Count a queue's jobs whose first task hasn't started."""
         return self._counts.get(queue, 0)
 
-    def _version(self) -> int:
-        """Return the version of the applied document, 0 for none."""
+    @property
+    def document_version(self) -> int:
+        """The version of the applied document, 0 for none."""
         return self.routes.document.version if self.routes else 0
 
     def _send_heartbeat(self) -> None:
@@ -226,7 +229,7 @@
         age_s = self._heap.clock.now() - self._holder_seen_at
         return messages.EntryBeat(
             self._me,
-            self._version(),
+            self.document_version,
             self._holder_role.highest_token,
             holder.host if holder else ids.InstanceId(""),
             self._node.cfg.zone,
@@ -451,8 +454,8 @@
     def _on_document(
         self, link: peers.MessageLink, push: messages.DocumentPush
     ) -> None:
-        is_newer = push.version > self._version()
-        if is_newer and push.base in (0, self._version()):
+        is_newer = push.version > self.document_version
+        if is_newer and push.base in (0, self.document_version):
             self._apply_document(push)
         # Acknowledges the push, so that a newer document may follow.
         link.send(self._heartbeat())
--- a/tests/test_documentcost.py
+++ b/tests/test_documentcost.py
@@ -2,48 +2,25 @@
 
 import testtools
 
-from chervilwheel.control import documents
-from loadtool import hostworld
+from loadtool import document_cost
 
 CONTROLS = 3
 ENTRIES = 6
 ROUTES = 4_200
-LINK_BYTES_S = 12.5e6 / 8
 CHANGE_INTERVAL_S = 0.33
 # Changes in quick succession may use a tenth of an entry host's link.
-MAX_CHANGE_BYTES = 0.1 * LINK_BYTES_S * CHANGE_INTERVAL_S
+MAX_CHANGE_BYTES = 0.1 * document_cost.LINK_BYTES_S * CHANGE_INTERVAL_S
 IN_FORCE_S = 2.0
 
 
-class LineDecoder(documents.Decoder):
-    """Decodes documents whose first line is their version."""
-
-    def decode(self, data):
-        version = int(data.partition(b"\n")[0])
-        return documents.Document(version, (), (), documents.Bounds(), data)
-
-
 def document(version, *, routes=ROUTES):
-    """Encode a document in which each version changes one route."""
-    rows = [
-        b'{"name":"r-%06d","host":"h%d.example","pathPrefix":"/p%d/",'
-        b'"type":"unsafe","timeoutMs":%d,"targetLatencyMs":60,'
-        b'"priority":1,"service":"listings","maxAttempts":4,"stretch":1.6}'
-        % (n, n % 37, n, 1_500 + (version if n == version % routes else 0))
-        for n in range(routes)
-    ]
-    return b"%d\n[" % version + b",".join(rows) + b"]"
+    return document_cost.encode_document(version, routes=routes)
 
 
 def start_world(test):
-    """Start hosts of which the entry hosts have small links."""
-    world = hostworld.World(
-        controls=CONTROLS, entries=ENTRIES, decoder=LineDecoder()
-    )
+    """Start hosts that are closed after a test."""
+    world = document_cost.start_world(controls=CONTROLS, entries=ENTRIES)
     test.addCleanup(world.close)
-    for host in world.entries:
-        world.network.link_rates[host] = LINK_BYTES_S
-    world.run(3.0)
     return world
 
 
@@ -54,7 +31,9 @@
 
     def versions(self):
         """Return the version that each entry host has applied."""
-        return {entry._version() for entry in self.world.entries.values()}
+        return {
+            entry.document_version for entry in self.world.entries.values()
+        }
 
     def cost_of(self, change, kind):
         """Return the messages and bytes of a kind sent during a change."""
