--- a/loadtool/document_cost.py
+++ b/loadtool/document_cost.py
@@ -38,9 +38,10 @@
     """Encode a document in which each version changes one route."""
     changed = version % routes
     rows = [
-        b'{"name":"r-%06d","host":"h%d.example","pathPrefix":"/p%d/",'
-        b'"type":"unsafe","timeoutMs":%d,"targetLatencyMs":60,'
-        b'"priority":1,"service":"listings","maxAttempts":4,"stretch":1.6}'
+        b'{"name":"r-%06d","host":"h%d.example","prefix":"/p%d/",'
+        b'"kind":"once","timeout_ms":%d,"allowance_ms":60,'
+        b'"priority":1,"service":"listings","attempts":4,"stretch":1.6,'
+        b'"weight":1}'
         % (n, n % 37, n, 1_500 + (version if n == changed else 0))
         for n in range(routes)
     ]
