Replica: a host joins though it knows no leader

A replica that joins, or a former voter that campaigns, was heard by the leader only. One that knows followers only, as a new host does whose seeds don't lead, or a former voter whose peers have been replaced since, stayed outside for ever, and the group had one host less for the next loss. Change: followers pass a join request, and the campaign of a host outside their config, to the leader, once (isForwarded).

--- a/chervilwheel/replica.py
+++ b/chervilwheel/replica.py
@@ -274,13 +274,12 @@
         """Process a message; drop one that is for an earlier disk."""
         self._now = now
         if isinstance(message, JoinRequest):
-            self._on_join(message, now)
+            self._admit(message, now)
             return
         if message.to != self.me:
             return
-        if self._is_from_former_voter(message):
-            self._on_join(JoinRequest(self.group, message.sender), now)
-            return
+        if self._is_from_former_voter(message, now):
+            self._admit(JoinRequest(self.group, message.sender), now)
         self._last_message_at[message.sender] = now
         is_pre_vote = (
             isinstance(message, VoteRequest | VoteReply) and message.is_pre
@@ -301,21 +300,32 @@
         }
         handlers[type(message)](message, now)
 
-    def _is_from_former_voter(self, message: Message) -> bool:
+    def _is_from_former_voter(self, message: Message, now: float) -> bool:
         """Whether a voter that was replaced while away campaigns.
 
         Its log may lack the change of the config, so that it still takes
         itself for a voter and sends no join requests.
         """
         return (
-            self.is_leader
-            and isinstance(message, VoteRequest)
+            isinstance(message, VoteRequest)
+            and self._has_leader(message, now)
             and not any(
                 member.name == message.sender.name
                 for member in self.config.members
             )
         )
 
+    def _admit(self, message: JoinRequest, now: float) -> None:
+        """Add a member that asks to join, or pass its request to the leader.
+
+        A new host may know none but followers.
+        """
+        if self.is_leader:
+            self._on_join(message, now)
+        elif self.leader is not None and not message.is_forwarded:
+            forwarded = message._replace(is_forwarded=True)
+            self._actions.before_sync.append(Send(self.leader.name, forwarded))
+
     def _require_leader(self) -> None:
         if not self.is_leader:
             leader = self.leader.name if self.leader else ""
--- a/chervilwheel/replicamessages.py
+++ b/chervilwheel/replicamessages.py
@@ -91,10 +91,14 @@
 
 
 class JoinRequest(typing.NamedTuple):
-    """Request of a replica outside the config to be added to it."""
+    """Request of a replica outside the config to be added to it.
+
+    :ivar is_forwarded: whether a follower passed it to the leader
+    """
 
     group: str
     sender: Member
+    is_forwarded: bool = False
 
 
 class Campaign(typing.NamedTuple):
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -72,7 +72,11 @@
   isLast @9 :Bool;
 }
 
-struct JoinRequest { group @0 :Text; sender @1 :Member; }
+struct JoinRequest {
+  group @0 :Text;
+  sender @1 :Member;
+  isForwarded @2 :Bool;
+}
 
 struct Campaign {
   group @0 :Text;
