Engine: log which runs of a lost executor were confirmed, and why one is gone

Cause: nothing showed whether an executor had crashed or was silent, nor which of its runs had just begun. Change: two fields when a lease has ended, one when an executor is gone.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -138,7 +138,7 @@
             self._rooms = None
             self._reconciler.add_executor(executor)
         elif report.is_gone:
-            self._remove_executor(executor, now)
+            self._remove_executor(executor, now, why="deregistered")
             return
         elif report.sequence < executor.report.sequence:
             return
@@ -306,7 +306,7 @@
         pause_s = pauses.get(verdict, 0.0)
         executor.unusable_until = max(executor.unusable_until, now + pause_s)
         if verdict is work.StartVerdict.OTHER_LIFE:
-            self._remove_executor(executor, now)
+            self._remove_executor(executor, now, why="replaced")
             return
         if verdict is work.StartVerdict.FENCED:
             executor.is_synced = False
@@ -338,7 +338,7 @@
         if not order.is_poll and not is_superseded:
             executor.is_renewing = False
         if answer.verdict is work.HoldVerdict.OTHER_LIFE:
-            self._remove_executor(executor, now)
+            self._remove_executor(executor, now, why="replaced")
             return
         has_answered_since = executor.listed_at >= sent_at
         if answer.verdict is work.HoldVerdict.UNKNOWN and (
@@ -369,7 +369,7 @@
                 self._leases.poll(executor, now)
 
     def _remove_executor(
-        self, executor: executors.Executor, now: float
+        self, executor: executors.Executor, now: float, *, why: str
     ) -> None:
         """Remove an executor that has ended, and requeue its runs."""
         executor.is_gone = True
@@ -380,7 +380,11 @@
         self._reconciler.remove_executor(executor)
         _LOG.info(
             "engine: an executor is gone",
-            extra={"executor": executor.id, "runs": len(executor.runs)},
+            extra={
+                "executor": executor.id,
+                "why": why,
+                "runs": len(executor.runs),
+            },
         )
         for run in list(executor.runs.values()):
             executor.remove_run(run.task)
@@ -435,7 +439,7 @@
             not executor.runs
             and now - executor.last_report_at > EXECUTOR_RETENTION_S
         ):
-            self._remove_executor(executor, now)
+            self._remove_executor(executor, now, why="silent")
             return
         self._leases.renew_if_due(
             executor, now, poll_after=self._takeovers.poll_after
@@ -453,6 +457,10 @@
                     "run": run.number,
                     "executor": executor.id,
                     "silent_s": round(now - executor.unreachable_since, 3),
+                    "confirmed": bool(run.confirmed_at),
+                    "ran_s": round(
+                        executor.unreachable_since - run.ordered_at, 3
+                    ),
                     "lease_ms": executor.lease_deadline_ms,
                     "order_ms": run.order_deadline_ms,
                     "clock_ms": executor.clock_ms,
