Tests of tasks that crash their executors, known to fail

What callers see: a task is started on one executor after another without a limit but its caller's patience; with 60 s of it, a sixth time and on.

--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -4,6 +4,7 @@
 which lets it detect a task that runs twice at the same time.
 """
 
+import collections
 import heapq
 import itertools
 import random
@@ -45,6 +46,20 @@
 }
 # Maximum time that a worker may take to terminate a run, set by the platform.
 STOP_S = 0.05
+# A task that crashes its workers does so this long after its start.
+CRASH_DELAY_S = 0.011
+RESTART_S = 3.2
+# After this many workers have crashed under a task, it may be started less
+# than as many times more.
+MAX_CRASHES = 3
+
+
+# Verdicts of calls to a crashed worker: before and after its restart.
+_START_REFUSALS = (
+    work.StartVerdict.NOT_SENT,
+    work.StartVerdict.OTHER_LIFE,
+)
+_HOLD_REFUSALS = (work.HoldVerdict.UNKNOWN, work.HoldVerdict.OTHER_LIFE)
 
 
 class InvariantError(AssertionError):
@@ -116,6 +131,15 @@
         self.racks = {}
         self.submitted_at = {}
         self.workers = {}
+        self.addresses = {}
+        # Workers that crashed and refuse connections, and their successors.
+        self.refusing = {}
+        # Tasks that crash the workers that start them.
+        self.crashing = set()
+        self.crash_options = {}
+        self.crashes = collections.Counter()
+        self.starts_after_crashes = collections.Counter()
+        self.starts_of = collections.Counter()
         self.engine = None
         self.standby = None
         self.engine_of_entry = {}
@@ -136,6 +160,9 @@
         """Start a worker; returns its id."""
         name = work.ExecutorId(f"x{next(self._worker_numbers)}")
         self.racks[name] = options.pop("rack", "r1")
+        self.addresses[name] = options.pop(
+            "address", addresses.Address("10.0.0.1", 8000 + len(self.workers))
+        )
         options.setdefault("cpu", self._cpu)
         options.setdefault("clock_rate", self.rng.uniform(0.98, 1.0))
         options.setdefault("stop_s", self.rng.uniform(0.0, STOP_S))
@@ -147,6 +174,27 @@
         )
         return name
 
+    def crash(self, name, *, restart_s=RESTART_S, is_dark=False):
+        """Crash a worker and start another one at its address.
+
+        :param is_dark: whether it leaves connections unanswered instead of
+            refusing them
+        """
+        self.workers[name].crash()
+        self.refusing[name] = None
+        if is_dark:
+            self.net.cut.add(name)
+        self.at(restart_s, lambda: self._restart(name))
+
+    def _restart(self, name):
+        self.net.cut.discard(name)
+        self.refusing[name] = self.add_worker(
+            cpu=self.workers[name].cpu,
+            speed=self.workers[name].speed,
+            rack=self.racks[name],
+            address=self.addresses[name],
+        )
+
     def at(self, delay, callback):
         """Schedule a callback after a delay."""
         heapq.heappush(
@@ -257,10 +305,15 @@
         preferred_rack="",
         offers=0,
         submission=0,
+        patience_ms=1500,
+        crashing=(),
+        leaves=False,
     ):
         """Submit a job; returns its id, None without a holder for it.
 
-        ``waited_s`` is how long its entry host has had it.
+        ``waited_s`` is how long its entry host has had it, ``crashing`` the
+        numbers of the tasks of its first step that crash their workers, and
+        ``leaves`` whether its caller disconnects without patience.
         """
         holder = self.engine_of_entry.get(entry, self.engine)
         if holder is None:
@@ -278,7 +331,7 @@
             attempts=attempts,
             stretch=1.6,
             target_ms=target_ms,
-            patience_ms=1500,
+            patience_ms=patience_ms,
             spec="spec",
             steps=steps,
             waited_ms=int(waited_s * 1000),
@@ -286,13 +339,23 @@
             submission=submission,
         )
         self.jobs[job_id] = job
+        self.crashing.update(
+            work.TaskId(job_id, 0, index) for index in crashing
+        )
         self.run_times[job_id] = work_s
         self.submitted_at[job_id] = self.now - waited_s
         self.entry_of[job_id] = entry
+        if leaves:
+            self.at(patience_ms / 1000, lambda: self._leave(job_id))
         holder.offer(job, entry, self.now)
         self._execute_actions(holder)
         return job_id
 
+    def _leave(self, job_id):
+        if job_id not in self.answers:
+            self.engine.cancel(job_id, self.now, work.Outcome.LOST)
+            self._execute_actions(self.engine)
+
     def repeat_offer(self, job_id, **changes):
         """Offer a job again to the same holder, as if it had just arrived."""
         job = self.jobs[job_id]._replace(waited_ms=0, **changes)
@@ -372,7 +435,7 @@
         report = work.ExecutorReport(
             id=name,
             service=SERVICE,
-            address=addresses.Address("10.0.0.1", 80),
+            address=self.addresses[name],
             zone=ids.ZoneId("zone"),
             room=work.Room(model.cpu, 65_536),
             labels=("a", self.racks[name]),
@@ -429,6 +492,9 @@
 
         def deliver():
             if not self.workers[order.executor].is_up:
+                refused = self._refusal(order.executor, _START_REFUSALS)
+                if refused is not None:
+                    on_response(refused, 0)
                 return
             verdict, clock_ms = self._deliver_start(order)
             if delivery == "ok":
@@ -463,8 +529,34 @@
             now=self.now,
         )
         self._schedule_next_end(model)
+        if verdict is workermodel.Verdict.OK:
+            self._record_start(order)
         return VERDICTS[verdict], model.clock_ms(self.now)
 
+    def _record_start(self, order):
+        task = order.task
+        self.starts_of[task] += 1
+        if self.crashes[task] >= MAX_CRASHES:
+            self.starts_after_crashes[task] += 1
+            if self.starts_after_crashes[task] >= MAX_CRASHES:
+                raise InvariantError(
+                    f"{task} is started after {self.crashes[task]} crashes"
+                )
+        if task in self.crashing:
+            self.at(CRASH_DELAY_S, lambda: self._crash_under(order))
+
+    def _crash_under(self, order):
+        if self.workers[order.executor].is_up:
+            self.crashes[order.task] += 1
+            self.crash(order.executor, **self.crash_options)
+
+    def _refusal(self, name, verdicts):
+        """Return the verdict of a crashed worker's address, None if silent."""
+        if name not in self.refusing or name in self.net.cut:
+            return None
+        is_restarted = self.refusing[name] is not None
+        return verdicts[is_restarted]
+
     def _schedule_next_end(self, model):
         when = model.next_end_at()
         if when < self.now + 100:
@@ -502,9 +594,15 @@
                 holder.held(order, answer, sent_at, self.now)
                 self._execute_actions(holder)
 
+        def refuse():
+            refused = self._refusal(order.executor, _HOLD_REFUSALS)
+            if refused is not None:
+                on_response(work.HoldAnswer(refused))
+
         def deliver():
             model = self.workers[order.executor]
             if not model.is_up:
+                refuse()
                 return
             verdict = model.renew_lease(
                 deadline_ms=order.deadline_ms,
@@ -521,6 +619,7 @@
         def wait(model, until):
             model.advance(self.now)
             if not model.is_up:
+                refuse()
                 return
             if model.unacknowledged_ends() or self.now >= until:
                 answer = self._hold_answer(model)
