Engine: a task under which two executors crashed is given up

What callers see: a task is started on one executor after another, without a limit but its caller's patience; each of them is away for seconds. Cause: failed runs were counted, executors lost under a task were not; after each lost lease the task was pending as if nothing had happened. A later holder knew nothing of it either. Change: each loss is recorded with its executor and address. It counts as a crash once another incarnation answers there, and is forgotten if the same one answers again. A task that had just begun, or has lost two executors, runs alone, on few executors at a time; while a second loss is unexplained it waits. Given up after two crashes, one of them alone, so no job fails for what ran beside it. The holder reports losses, and starts of such tasks, to the entry host, which offers the job with them to the next holder.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -81,7 +81,7 @@
             links=node.links,
             port=port,
             send_not_holder=lambda link: link.send(self._status()),
-            answered=lambda _answer: None,
+            notify=lambda _notice: None,
             lease_limits=node.cfg.lease_limits,
         )
         self._relays = relay.Relays(me=node.cfg.id, links=node.links)
--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -15,7 +15,7 @@
 # tens of microseconds.
 TICK_S = 0.02
 
-Answered = typing.Callable[[ids.InstanceId, work.Answer], None]
+Notify = typing.Callable[[ids.InstanceId, work.Notice], None]
 
 
 class EngineRunner:
@@ -26,7 +26,7 @@
     :param job_engine: the engine
     :param fence: the parts of this holder's fencing tokens that are its own
     :param bump: the bump of the engine's current token
-    :param answered: receives the entry host and the final answer to its job
+    :param notify: receives the entry host and a notice about its job
     :param may_send_orders: whether orders may be sent now
     """
 
@@ -38,13 +38,13 @@
         job_engine: engine.Engine,
         fence: tokens.Fence,
         bump: int,
-        answered: Answered,
+        notify: Notify,
         may_send_orders: typing.Callable[[], bool],
     ) -> None:
         self.engine = job_engine
         self._heap = heap
         self._port = port
-        self._answered = answered
+        self._notify = notify
         self._may_send_orders = may_send_orders
         self._fence = fence
         self._bump = bump
@@ -104,10 +104,10 @@
         self.execute_actions()
 
     def _execute(self, action: work.Action) -> None:
-        if isinstance(action, work.Answer):
+        if isinstance(action, work.Answer | work.LossReport):
             state = self.engine.jobs.get(action.job)
             if state is not None:
-                self._answered(state.entry, action)
+                self._notify(state.entry, action)
         elif isinstance(action, work.StartOrder):
             self._start(action)
         elif isinstance(action, work.HoldOrder):
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -90,7 +90,7 @@
             links=node.links,
             port=port,
             send_not_holder=lambda link: link.send(self._status()),
-            answered=lambda answer: self.jobs.handle_answer(answer, self._me),
+            notify=lambda notice: self.jobs.handle_notice(notice, self._me),
             lease_limits=node.cfg.lease_limits,
         )
         self._relays = relay.Relays(
@@ -119,6 +119,7 @@
         links.handle(messages.ExecutorNews, self._on_executor_news)
         links.handle(messages.DocumentPush, self._on_document)
         links.handle(messages.JobAnswer, self._on_answer)
+        links.handle(messages.JobLosses, self._on_losses)
         links.handle(messages.JobCancelled, self._on_cancelled)
         links.on_link_lost(self._on_lost)
         self._heap.call_every(HEARTBEAT_INTERVAL_S, self._send_heartbeat)
@@ -444,7 +445,12 @@
     def _on_answer(
         self, link: peers.MessageLink, answer: messages.JobAnswer
     ) -> None:
-        self.jobs.handle_answer(work.Answer(*answer), link.peer)
+        self.jobs.handle_notice(work.Answer(*answer), link.peer)
+
+    def _on_losses(
+        self, link: peers.MessageLink, message: messages.JobLosses
+    ) -> None:
+        self.jobs.handle_notice(work.LossReport(*message), link.peer)
 
     def _on_cancelled(
         self, _link: peers.MessageLink, message: messages.JobCancelled
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -159,20 +159,23 @@
         for state in self._jobs.values():
             state.is_offer_current = False
 
-    def handle_answer(
-        self, answer: work.Answer, sender: ids.InstanceId
+    def handle_notice(
+        self, notice: work.Notice, sender: ids.InstanceId
     ) -> None:
-        """Process an answer.
+        """Process an answer, or a report for the next holder of the job.
 
-        A former holder's answer is ignored unless the job is completed.
+        A former holder's notice is ignored unless the job is completed.
         """
-        state = self._jobs.get(answer.job)
+        state = self._jobs.get(notice.job)
         if state is None:
             return
         holder = state.offered_to
         is_current = holder is not None and holder.host == sender
-        if is_current or answer.outcome is work.Outcome.COMPLETED:
-            self._end(answer)
+        if isinstance(notice, work.LossReport):
+            if is_current:
+                state.job = state.job._replace(losses=notice.losses)
+        elif is_current or notice.outcome is work.Outcome.COMPLETED:
+            self._end(notice)
 
     def expire(self, now: float) -> None:
         """Answer the jobs that have waited too long for a holder."""
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -26,7 +26,7 @@
 ENTRY_TIMEOUT_S = 0.6
 ENTRY_REMOVAL_S = 10.0
 
-Answered = typing.Callable[[work.Answer], None]
+Notify = typing.Callable[[work.Notice], None]
 
 
 def cancel_outcome(number: int) -> work.Outcome:
@@ -59,7 +59,7 @@
     :param port: sends orders to executors
     :param send_not_holder: tells an entry host that this host isn't the
         holder
-    :param answered: receives answers to this host's own jobs
+    :param notify: receives notices about this host's own jobs
     :param lease_limits: the executors' limits for leases
     """
 
@@ -71,14 +71,14 @@
         links: peers.Peers,
         port: ports.ExecutorPort,
         send_not_holder: typing.Callable[[peers.MessageLink], None],
-        answered: Answered,
+        notify: Notify,
         lease_limits: leases.LeaseLimits,
     ) -> None:
         self._me = me
         self._heap = heap
         self._port = port
         self._send_not_holder = send_not_holder
-        self._answered = answered
+        self._notify = notify
         self._lease_limits = lease_limits
         self._runner: enginerunner.EngineRunner | None = None
         self._highest_token = 0
@@ -139,7 +139,7 @@
             job_engine=job_engine,
             fence=fence,
             bump=bump,
-            answered=self._on_answer,
+            notify=self._on_notice,
             may_send_orders=may_send_orders,
         )
         arrived = list(reports)
@@ -270,10 +270,14 @@
         )
         link.send(messages.JobCancelled(message.number, is_known))
 
-    def _on_answer(self, entry: ids.InstanceId, answer: work.Answer) -> None:
+    def _on_notice(self, entry: ids.InstanceId, notice: work.Notice) -> None:
         if entry == self._me:
-            self._answered(answer)
+            self._notify(notice)
             return
         entry_link = self.entries.get(entry)
-        if entry_link is not None:
-            entry_link.link.send(messages.JobAnswer(*answer))
+        if entry_link is None:
+            return
+        if isinstance(notice, work.LossReport):
+            entry_link.link.send(messages.JobLosses(*notice))
+        else:
+            entry_link.link.send(messages.JobAnswer(*notice))
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -320,6 +320,13 @@
     reason: str
 
 
+class JobLosses(typing.NamedTuple):
+    """Executors lost under the tasks of a job, from the holder."""
+
+    job: ids.JobId
+    losses: tuple[work.TaskLoss, ...]
+
+
 class JobCancel(typing.NamedTuple):
     """Request from an entry host to the holder to cancel a job."""
 
@@ -453,6 +460,7 @@
         Gossip,
         JobOffer,
         JobAnswer,
+        JobLosses,
         JobCancel,
         JobCancelled,
         ExecutorNews,
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -272,6 +272,16 @@
   mostTogether @6 :UInt32;
 }
 
+struct TaskLoss {
+  step @0 :UInt32;
+  index @1 :UInt32;
+  executor @2 :Text;
+  address @3 :Address;
+  isEarly @4 :Bool;
+  isAlone @5 :Bool;
+  isCrash @6 :Bool;
+}
+
 struct Job {
   id @0 :Text;
   queue @1 :Text;
@@ -287,6 +297,7 @@
   isFromStandby @11 :Bool;
   waitedMs @12 :UInt32;
   submission @13 :UInt64;
+  losses @14 :List(TaskLoss);
 }
 
 struct ExecutorReport {
@@ -312,6 +323,8 @@
   reason @3 :Text;
 }
 
+struct JobLosses { job @0 :Text; losses @1 :List(TaskLoss); }
+
 struct JobCancel { number @0 :UInt64; job @1 :Text; }
 struct JobCancelled { number @0 :UInt64; isKnown @1 :Bool; }
 
@@ -384,5 +397,6 @@
     documentPush @29 :DocumentPush;
     relayed @30 :Relayed;
     entryNews @31 :EntryNews;
+    jobLosses @32 :JobLosses;
   }
 }
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import enum
 import logging
 import typing
 
@@ -15,6 +16,7 @@
 from chervilwheel.workers import jobstate
 from chervilwheel.workers import jobtable
 from chervilwheel.workers import leases
+from chervilwheel.workers import losses
 from chervilwheel.workers import placement
 from chervilwheel.workers import reconciler
 from chervilwheel.workers import starter
@@ -43,6 +45,18 @@
 MAX_TICK_INTERVAL_S = 0.05
 
 
+# Reason of answers to jobs with a task under which executors were lost.
+CRASHES = "executors_lost"
+
+
+class Departure(enum.Enum):
+    """Why an executor is gone: REPLACED by another incarnation."""
+
+    DEREGISTERED = "deregistered"
+    REPLACED = "replaced"
+    SILENT = "silent"
+
+
 class Engine:
     """Leases executors and runs jobs on them.
 
@@ -76,11 +90,15 @@
         self._leases = leases.LeaseManager(
             token=token, limits=lease_limits, actions=self._actions
         )
+        self._losses = losses.LossTracker(
+            job_table=self._job_table, actions=self._actions
+        )
         self._starter = starter.Starter(
             executors_by_id=self.executors,
             free_index=self._free_index,
             job_table=self._job_table,
             lease_manager=self._leases,
+            loss_tracker=self._losses,
             actions=self._actions,
         )
         self._reconciler = reconciler.RunReconciler(
@@ -138,7 +156,7 @@
             self._rooms = None
             self._reconciler.add_executor(executor)
         elif report.is_gone:
-            self._remove_executor(executor, now, why="deregistered")
+            self._remove_executor(executor, now, why=Departure.DEREGISTERED)
             return
         elif report.sequence < executor.report.sequence:
             return
@@ -167,14 +185,12 @@
             if not existing.is_finished:
                 if job.offers > existing.job.offers:
                     existing.restart_takeover(job, now)
+                    self._losses.offered(existing, now)
                     self._takeovers.add(existing)
                     self._job_table.waiting.add(existing)
                     self._reconciler.adopt(existing, now)
                 return
-            if (
-                existing.answer
-                and existing.answer.outcome is work.Outcome.COMPLETED
-            ):
+            if existing.answer and _is_final(existing.answer):
                 self._actions.append(existing.answer)
                 return
             if is_repeated and existing.answer:
@@ -188,7 +204,9 @@
                 return
             if existing.is_started:
                 job = job._replace(offers=job.offers + existing.job.offers + 1)
+            job = job._replace(losses=(*job.losses, *existing.losses))
         state = self._job_table.add(job, entry, now)
+        self._losses.offered(state, now)
         if self._never_fits(job, now):
             self._finish(
                 state,
@@ -306,7 +324,7 @@
         pause_s = pauses.get(verdict, 0.0)
         executor.unusable_until = max(executor.unusable_until, now + pause_s)
         if verdict is work.StartVerdict.OTHER_LIFE:
-            self._remove_executor(executor, now, why="replaced")
+            self._remove_executor(executor, now, why=Departure.REPLACED)
             return
         if verdict is work.StartVerdict.FENCED:
             executor.is_synced = False
@@ -338,7 +356,7 @@
         if not order.is_poll and not is_superseded:
             executor.is_renewing = False
         if answer.verdict is work.HoldVerdict.OTHER_LIFE:
-            self._remove_executor(executor, now, why="replaced")
+            self._remove_executor(executor, now, why=Departure.REPLACED)
             return
         has_answered_since = executor.listed_at >= sent_at
         if answer.verdict is work.HoldVerdict.UNKNOWN and (
@@ -346,13 +364,24 @@
         ):
             return
         if answer.verdict is not work.HoldVerdict.HELD:
+            was_reachable = not executor.unreachable_since
             self._leases.renewal_failed(executor, order, answer, now)
+            if was_reachable and executor.unreachable_since:
+                executor.lost_together = len(executor.runs)
             return
+        self._give_up_crashing(self._losses.answered(executor, sent_at), now)
         self._leases.held(executor, order, answer, sent_at, now)
         self._reconciler.reconcile(executor, answer, sent_at, now)
         self._starter.place(now, executor)
         self._maintain(executor, now)
 
+    def _give_up_crashing(
+        self, states: typing.Iterable[jobstate.JobState], now: float
+    ) -> None:
+        """Fail jobs with a task that crashes its executors."""
+        for state in states:
+            self._finish(state, work.Outcome.FAILED, now, reason=CRASHES)
+
     def stopped(
         self, order: work.StopOrder, clock_ms: int, now: float
     ) -> None:
@@ -369,7 +398,7 @@
                 self._leases.poll(executor, now)
 
     def _remove_executor(
-        self, executor: executors.Executor, now: float, *, why: str
+        self, executor: executors.Executor, now: float, *, why: "Departure"
     ) -> None:
         """Remove an executor that has ended, and requeue its runs."""
         executor.is_gone = True
@@ -382,13 +411,19 @@
             "engine: an executor is gone",
             extra={
                 "executor": executor.id,
-                "why": why,
+                "why": why.value,
                 "runs": len(executor.runs),
             },
         )
+        if not executor.unreachable_since:
+            executor.lost_together = len(executor.runs)
         for run in list(executor.runs.values()):
             executor.remove_run(run.task)
+            if why is Departure.REPLACED:
+                self._losses.lost(executor, run, now)
             self._job_table.requeue(run)
+        if why is Departure.REPLACED:
+            self._give_up_crashing(self._losses.replaced(executor), now)
         self._starter.place(now)
 
     def _finish(
@@ -429,7 +464,10 @@
         # Late jobs get room that is free rather than a refusal.
         self._starter.place(now)
         self._refuse_overdue(now)
+        for state in self._losses.overdue(now):
+            self._finish(state, work.Outcome.LOST, now, reason=CRASHES)
         self._job_table.purge(now)
+        self._losses.purge()
 
     def _maintain(self, executor: executors.Executor, now: float) -> None:
         """Drop expired runs or the executor, and renew its lease when due."""
@@ -439,7 +477,7 @@
             not executor.runs
             and now - executor.last_report_at > EXECUTOR_RETENTION_S
         ):
-            self._remove_executor(executor, now, why="silent")
+            self._remove_executor(executor, now, why=Departure.SILENT)
             return
         self._leases.renew_if_due(
             executor, now, poll_after=self._takeovers.poll_after
@@ -468,6 +506,7 @@
                 },
             )
             executor.remove_run(run.task)
+            self._losses.lost(executor, run, now)
             self._job_table.requeue(run)
 
     def raise_token(self, token: int, now: float) -> None:
@@ -522,3 +561,10 @@
     def waiting_by_queue(self) -> dict[str, int]:
         """Return the number of jobs that have not started, by queue."""
         return self._job_table.waiting_by_queue()
+
+
+def _is_final(answer: work.Answer) -> bool:
+    """Return whether a repeated submission gets the same answer again."""
+    if answer.outcome is work.Outcome.COMPLETED:
+        return True
+    return answer.outcome is work.Outcome.FAILED and answer.reason == CRASHES
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -40,6 +40,7 @@
         has not
     :ivar is_orphan: whether another holder ordered it and no job here has
         adopted it
+    :ivar is_alone: whether no other run may be ordered beside it
     """
 
     task: work.TaskId
@@ -56,6 +57,7 @@
     probed_at: float = 0.0
     blocked_at: float = 0.0
     is_orphan: bool = False
+    is_alone: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -75,6 +77,8 @@
         they were not
     :ivar listed_at: when the latest lists received were requested
     :ivar unreachable_since: time of the first failed renewal, 0 if reachable
+    :ivar lost_together: number of its runs when it became unreachable
+    :ivar is_reserved: whether it is kept free for a task that runs alone
     :ivar on_free_changed: called after each change of the free resources
     """
 
@@ -99,6 +103,9 @@
     clock_at: float = 0.0
     unreachable_since: float = 0.0
     unusable_until: float = 0.0
+    lost_together: int = 0
+    is_reserved: bool = False
+    runs_alone: int = 0
     draining_since: float = 0.0
     is_gone: bool = False
     is_fenced: bool = False
@@ -160,6 +167,7 @@
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.task] = run
+        self.runs_alone += run.is_alone
         self.used = self.used.plus(run.room)
         self._update_free()
 
@@ -167,6 +175,7 @@
         """Remove a run and release its resources."""
         run = self.runs.pop(task, None)
         if run is not None:
+            self.runs_alone -= run.is_alone
             self.used = self.used.minus(run.room)
             self._update_free()
         return run
@@ -182,6 +191,8 @@
             and not self.is_gone
             and not self.is_retrying
             and not self.report.is_draining
+            and not self.is_reserved
+            and not self.runs_alone
             and now >= self.unusable_until
         )
 
--- a/chervilwheel/workers/jobstate.py
+++ b/chervilwheel/workers/jobstate.py
@@ -39,6 +39,8 @@
 
     :ivar next_run: number of its next run
     :ivar executor: the executor of its current run
+    :ivar losses: the executors that were lost under it
+    :ivar lost_at: when the last of them was found to be lost, seconds
     """
 
     id: work.TaskId
@@ -46,6 +48,8 @@
     failures: int = 0
     is_done: bool = False
     executor: work.ExecutorId | None = None
+    losses: tuple[work.TaskLoss, ...] = ()
+    lost_at: float = 0.0
 
 
 class JobState:
@@ -111,6 +115,18 @@
                 first_run = 1 + job.offers * RUN_NUMBERS_PER_OFFER
                 task.next_run = max(task.next_run, first_run)
 
+    @property
+    def losses(self) -> tuple[work.TaskLoss, ...]:
+        """The executors that were lost under its tasks."""
+        return tuple(
+            loss for row in self.tasks for task in row for loss in task.losses
+        )
+
+    @property
+    def patience_ends_at(self) -> float:
+        """When its caller times out, seconds."""
+        return self.arrived_at + self.job.patience_ms / 1000
+
     @property
     def remaining_path_s(self) -> float:
         """Estimated duration of the steps that aren't complete, seconds."""
--- a/chervilwheel/workers/starter.py
+++ b/chervilwheel/workers/starter.py
@@ -4,10 +4,12 @@
 
 from chervilwheel import ids
 from chervilwheel.workers import executors
+from chervilwheel.workers import exposure
 from chervilwheel.workers import freeindex
 from chervilwheel.workers import jobstate
 from chervilwheel.workers import jobtable
 from chervilwheel.workers import leases
+from chervilwheel.workers import losses
 from chervilwheel.workers import placement
 from chervilwheel.workers import work
 
@@ -17,6 +19,12 @@
 # it may have switched to a standby, which waits equally long before it takes
 # runs over (control.standby.NO_QUORUM_WAIT_S).
 ENTRY_HEARTBEAT_TIMEOUT_S = 0.35
+# A task that may crash its executor waits this long for spare capacity; then
+# an executor is kept free for it.
+MAX_SPARE_WAIT_S = 1.0
+# Share of the executors, rounded up, that may run such tasks or be lost with
+# them.
+MAX_TRIAL_SHARE = 1 / 32
 
 
 class Starter:
@@ -26,6 +34,7 @@
     :param free_index: the same executors by free CPU
     :param job_table: all jobs of this holder
     :param lease_manager: renews the leases of executors with new runs
+    :param loss_tracker: reports the starts of tasks that may crash executors
     :param actions: list that the orders are appended to
     """
 
@@ -36,6 +45,7 @@
         free_index: freeindex.FreeIndex,
         job_table: jobtable.JobTable,
         lease_manager: leases.LeaseManager,
+        loss_tracker: losses.LossTracker,
         actions: list[work.Action],
     ) -> None:
         self.starts = 0
@@ -43,7 +53,13 @@
         self._free_index = free_index
         self._job_table = job_table
         self._leases = lease_manager
+        self._losses = loss_tracker
         self._actions = actions
+        self._trials = exposure.ExposedExecutors(
+            executors_by_id=executors_by_id,
+            runs_tasks=lambda executor: executor.runs_alone > 0,
+        )
+        self._reservation: _Reservation | None = None
         self._heartbeats: dict[ids.InstanceId, float] = {}
 
     def record_heartbeat(self, entry: ids.InstanceId, now: float) -> None:
@@ -61,6 +77,7 @@
         self._job_table.waiting.advance(now)
         if not self._job_table.waiting:
             return
+        self._place_reserved(now)
         attempt = self._begin(now, changed)
         if not attempt.has_room:
             return
@@ -103,21 +120,125 @@
             return
         if self._is_refusable(state, attempt.now):
             return
-        queue = self._job_table.waiting
-        while state.pending:
-            task = state.pending[0]
+        held_back = 0
+        while len(state.pending) > held_back:
+            task = state.pending[held_back]
             if state.job.offers and task.id in self._open_tasks(attempt):
                 break
+            sharing = losses.sharing(task, attempt.now)
             step = state.job.steps[task.id.step]
-            executor = attempt.choose(task.id, step, state.job.service)
+            if sharing is losses.Sharing.SHARED:
+                executor = attempt.choose(task.id, step, state.job.service)
+                if executor is None:
+                    break
+                state.pending.remove(task)
+                self._start(state, task, executor, attempt.now)
+                continue
+            executor = None
+            if sharing is losses.Sharing.ALONE:
+                executor = self._choose_empty(state, task, attempt)
             if executor is None:
-                break
-            state.pending.pop(0)
-            self._start(state, task, step, executor, attempt.now)
+                held_back += 1
+                continue
+            state.pending.remove(task)
+            self._start_alone(state, task, executor, attempt.now)
+        self._update_queue(state)
+
+    def _update_queue(self, state: jobstate.JobState) -> None:
         if state.pending:
-            queue.add(state)
+            self._job_table.waiting.add(state)
         else:
-            queue.remove(state)
+            self._job_table.waiting.remove(state)
+
+    def _choose_empty(
+        self,
+        state: jobstate.JobState,
+        task: jobstate.Task,
+        attempt: "_Attempt",
+    ) -> executors.Executor | None:
+        """Return an executor without runs for a task that runs alone.
+
+        The task waits for spare capacity at first, as it may take the
+        executor away from others.
+        """
+        has_waited = attempt.now - task.lost_at >= MAX_SPARE_WAIT_S
+        if not has_waited and not self._has_spare_capacity(state.job.service):
+            return None
+        if not self._trials.has_place(MAX_TRIAL_SHARE, attempt.now):
+            return None
+        step = state.job.steps[task.id.step]
+        executor = attempt.choose_empty(task.id, step, state.job.service)
+        if executor is None and has_waited and self._reservation is None:
+            self._reserve(state, task, attempt.now)
+        return executor
+
+    def _has_spare_capacity(self, service: ids.ServiceId) -> bool:
+        """Return whether under half of a service's CPU is in use."""
+        reachable = [
+            executor
+            for executor in self._executors.values()
+            if executor.report.service == service and executor.is_synced
+        ]
+        used = sum(executor.used.cpu for executor in reachable)
+        return 2 * used < sum(each.report.room.cpu for each in reachable)
+
+    def _reserve(
+        self, state: jobstate.JobState, task: jobstate.Task, now: float
+    ) -> None:
+        """Keep the executor with the fewest runs free for a task."""
+        step = state.job.steps[task.id.step]
+        candidates = [
+            executor
+            for executor in self._executors.values()
+            if executor.report.service == state.job.service
+            and executor.report.room.holds(step.room)
+            and step.required_label in ("", *executor.report.labels)
+            and executor.may_start(now)
+        ]
+        if candidates:
+            executor = min(candidates, key=lambda each: len(each.runs))
+            executor.is_reserved = True
+            self._reservation = _Reservation(state, task, executor)
+
+    def _place_reserved(self, now: float) -> None:
+        """Start the task that an executor is reserved for, once it is empty.
+
+        The executor is released if it can't be used or the task has ended.
+        """
+        if self._reservation is None:
+            return
+        state, task, executor = self._reservation
+        executor.is_reserved = False
+        is_wanted = (
+            task in state.pending
+            and losses.sharing(task, now) is losses.Sharing.ALONE
+            and self._trials.has_place(MAX_TRIAL_SHARE, now)
+            and not state.is_taking_over
+            and self._is_entry_live(state.entry, now)
+        )
+        step = state.job.steps[task.id.step]
+        may_use = executor.may_start(now) and executor.report.room.holds(
+            step.room
+        )
+        if is_wanted and may_use and executor.runs:
+            executor.is_reserved = True
+            return
+        self._reservation = None
+        if is_wanted and may_use:
+            state.pending.remove(task)
+            self._start_alone(state, task, executor, now)
+            self._update_queue(state)
+
+    def _start_alone(
+        self,
+        state: jobstate.JobState,
+        task: jobstate.Task,
+        executor: executors.Executor,
+        now: float,
+    ) -> None:
+        self._losses.starting_alone(state, task, executor)
+        self._trials.add(executor, now)
+        self._start(state, task, executor, now, is_alone=True)
 
     def _is_refusable(self, state: jobstate.JobState, now: float) -> bool:
         """Return whether a job is too late to be started at all."""
@@ -139,10 +260,12 @@
         self,
         state: jobstate.JobState,
         task: jobstate.Task,
-        step: work.Step,
         executor: executors.Executor,
         now: float,
+        *,
+        is_alone: bool = False,
     ) -> None:
+        step = state.job.steps[task.id.step]
         deadline_ms = executor.deadline_ms(now, START_LEASE_S)
         run = executors.Run(
             task=task.id,
@@ -152,6 +275,7 @@
             ordered_at=now,
             expected_s=step.estimated_ms / 1000,
             order_deadline_ms=deadline_ms,
+            is_alone=is_alone,
         )
         executor.add_run(run)
         executor.lease_deadline_ms = max(
@@ -175,6 +299,14 @@
         self._leases.renew(executor, now)
 
 
+class _Reservation(typing.NamedTuple):
+    """An executor that is kept free for a task that runs alone."""
+
+    state: jobstate.JobState
+    task: jobstate.Task
+    executor: executors.Executor
+
+
 class _Attempt:
     """One pass over waiting jobs, during which no resources become free.
 
@@ -217,6 +349,20 @@
                 self._too_large[service] = step.room
         return executor
 
+    def choose_empty(
+        self, task: work.TaskId, step: work.Step, service: ids.ServiceId
+    ) -> executors.Executor | None:
+        """Return the smallest executor without runs that holds a task."""
+        return placement.choose(
+            (
+                executor
+                for executor in self._candidates(service, step.room.cpu)
+                if not executor.runs
+            ),
+            task,
+            step,
+        )
+
     def _candidates(
         self, service: ids.ServiceId, cpu: int
     ) -> typing.Iterable[executors.Executor]:
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -69,6 +69,28 @@
     return max(ends, default=0.0)
 
 
+class TaskLoss(typing.NamedTuple):
+    """An executor that was lost while it ran a task of a job.
+
+    :ivar is_early: whether the run had just begun
+    :ivar is_alone: whether the executor ran no other task
+    :ivar is_crash: whether the executor is known to have crashed
+    """
+
+    step: int
+    index: int
+    executor: ExecutorId
+    address: addresses.Address
+    is_early: bool = False
+    is_alone: bool = False
+    is_crash: bool = False
+
+    @property
+    def place(self) -> tuple[int, int]:
+        """Numbers of the step and of the task in it."""
+        return self.step, self.index
+
+
 class Job(typing.NamedTuple):
     """A job, which is answered once it has ended.
 
@@ -85,6 +107,7 @@
     :ivar waited_ms: time since its entry host received it
     :ivar submission: the entry host's number of this submission; a caller
         may submit a refused job again under the same id
+    :ivar losses: executors that earlier holders lost under its tasks
     """
 
     id: ids.JobId
@@ -101,6 +124,7 @@
     is_from_standby: bool = False
     waited_ms: int = 0
     submission: int = 0
+    losses: tuple[TaskLoss, ...] = ()
 
     @property
     def critical_path_s(self) -> float:
@@ -279,5 +303,13 @@
     reason: str = ""
 
 
+class LossReport(typing.NamedTuple):
+    """All executors lost under the tasks of a job, for its entry host."""
+
+    job: ids.JobId
+    losses: tuple[TaskLoss, ...]
+
+
 Order = StartOrder | StopOrder | HoldOrder
-Action = Order | Answer
+Notice = Answer | LossReport
+Action = Order | Notice
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -469,6 +469,15 @@
             if holder is current and action.job not in self.answers:
                 self.answers[action.job] = (self.now, action)
             return
+        if isinstance(action, work.LossReport):
+            current = self.engine_of_entry.get(
+                self.entry_of.get(action.job), self.engine
+            )
+            if holder is current:
+                self.jobs[action.job] = self.jobs[action.job]._replace(
+                    losses=action.losses
+                )
+            return
         if not self._is_live(holder):
             return
         delivery, delay = self.net.sample_delivery(
