Starter: tasks of a queue that crashes executors are kept apart

What callers see: while a tenth of one kind of job crashes executors, jobs of all kinds that run beside them are lost, and most others are refused for want of executors. Cause: tasks are placed by size only, so each crash hits what is there, and one queue may take any number of executors away. Change: executors lost as they began tasks score the queues of these tasks; tasks of a risky queue avoid executors with others, and the reverse, and use no more executors than the queue's share of the load while others wait. The executors that it lost count until another incarnation answers.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -19,6 +19,7 @@
 from chervilwheel.workers import losses
 from chervilwheel.workers import placement
 from chervilwheel.workers import reconciler
+from chervilwheel.workers import risk
 from chervilwheel.workers import starter
 from chervilwheel.workers import takeover
 from chervilwheel.workers import waitlimit
@@ -93,12 +94,14 @@
         self._losses = losses.LossTracker(
             job_table=self._job_table, actions=self._actions
         )
+        self._risk = risk.QueueRisk()
         self._starter = starter.Starter(
             executors_by_id=self.executors,
             free_index=self._free_index,
             job_table=self._job_table,
             lease_manager=self._leases,
             loss_tracker=self._losses,
+            queue_risk=self._risk,
             actions=self._actions,
         )
         self._reconciler = reconciler.RunReconciler(
@@ -367,7 +370,7 @@
             was_reachable = not executor.unreachable_since
             self._leases.renewal_failed(executor, order, answer, now)
             if was_reachable and executor.unreachable_since:
-                executor.lost_together = len(executor.runs)
+                self._executor_unreachable(executor, now)
             return
         self._give_up_crashing(self._losses.answered(executor, sent_at), now)
         self._leases.held(executor, order, answer, sent_at, now)
@@ -375,6 +378,14 @@
         self._starter.place(now, executor)
         self._maintain(executor, now)
 
+    def _executor_unreachable(
+        self, executor: executors.Executor, now: float
+    ) -> None:
+        executor.lost_together = len(executor.runs)
+        if not executor.report.is_draining and not executor.is_fenced:
+            queues = losses.queues_of_early_runs(executor, self.jobs, now)
+            self._risk.record_loss(queues, now)
+
     def _give_up_crashing(
         self, states: typing.Iterable[jobstate.JobState], now: float
     ) -> None:
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -41,6 +41,7 @@
     :ivar is_orphan: whether another holder ordered it and no job here has
         adopted it
     :ivar is_alone: whether no other run may be ordered beside it
+    :ivar is_risky: whether it is of a queue whose tasks may crash executors
     """
 
     task: work.TaskId
@@ -58,6 +59,7 @@
     blocked_at: float = 0.0
     is_orphan: bool = False
     is_alone: bool = False
+    is_risky: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -105,6 +107,7 @@
     unusable_until: float = 0.0
     lost_together: int = 0
     is_reserved: bool = False
+    risky_runs: int = 0
     runs_alone: int = 0
     draining_since: float = 0.0
     is_gone: bool = False
@@ -167,6 +170,7 @@
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.task] = run
+        self.risky_runs += run.is_risky
         self.runs_alone += run.is_alone
         self.used = self.used.plus(run.room)
         self._update_free()
@@ -175,6 +179,7 @@
         """Remove a run and release its resources."""
         run = self.runs.pop(task, None)
         if run is not None:
+            self.risky_runs -= run.is_risky
             self.runs_alone -= run.is_alone
             self.used = self.used.minus(run.room)
             self._update_free()
--- a/chervilwheel/workers/losses.py
+++ b/chervilwheel/workers/losses.py
@@ -11,6 +11,7 @@
 import typing
 
 from chervilwheel import addresses
+from chervilwheel import ids
 from chervilwheel.workers import executors
 from chervilwheel.workers import jobstate
 from chervilwheel.workers import jobtable
@@ -276,3 +277,16 @@
     return len(crashes) >= MAX_CRASHES and any(
         each.is_alone for each in crashes
     )
+
+
+def queues_of_early_runs(
+    executor: executors.Executor,
+    jobs: typing.Mapping[ids.JobId, jobstate.JobState],
+    now: float,
+) -> set[str]:
+    """Return the queues of the runs that had just begun on an executor."""
+    return {
+        jobs[run.task.job].job.queue
+        for run in executor.runs.values()
+        if run.task.job in jobs and not run.is_orphan and is_early(run, now)
+    }
--- a/chervilwheel/workers/placement.py
+++ b/chervilwheel/workers/placement.py
@@ -10,13 +10,18 @@
     candidates: typing.Iterable[executors.Executor],
     task: work.TaskId,
     step: work.Step,
+    *,
+    is_risky: bool = False,
 ) -> executors.Executor | None:
     """Return the best executor for a task, or None if none fits.
 
     :param candidates: executors of the service that may start runs, the one
         with the least free CPU first
+    :param is_risky: whether the task is of a queue whose tasks may crash
+        executors
     """
     best = None
+    best_rank = (True, True)
     for executor in candidates:
         labels = executor.report.labels
         if not executor.free.holds(step.room):
@@ -27,12 +32,22 @@
             count = executors.count_step_runs(executor.runs.values(), task)
             if count >= step.most_together:
                 continue
-        if not step.preferred_rack or step.preferred_rack in labels:
+        is_far = step.preferred_rack not in ("", *labels)
+        rank = (_mixes_risks(executor, is_risky), is_far)
+        if rank == (False, False):
             return executor
-        best = best or executor
+        if best is None or rank < best_rank:
+            best, best_rank = executor, rank
     return best
 
 
+def _mixes_risks(executor: executors.Executor, is_risky: bool) -> bool:
+    """Return whether a crash would hit tasks of other queues."""
+    if is_risky:
+        return len(executor.runs) > executor.risky_runs
+    return executor.risky_runs > 0
+
+
 def count_places(
     candidates: typing.Iterable[executors.Executor], job: work.Job
 ) -> int:
--- a/chervilwheel/workers/starter.py
+++ b/chervilwheel/workers/starter.py
@@ -11,6 +11,7 @@
 from chervilwheel.workers import leases
 from chervilwheel.workers import losses
 from chervilwheel.workers import placement
+from chervilwheel.workers import risk
 from chervilwheel.workers import work
 
 # A start order is void after this time, whether or not it was answered.
@@ -35,6 +36,7 @@
     :param job_table: all jobs of this holder
     :param lease_manager: renews the leases of executors with new runs
     :param loss_tracker: reports the starts of tasks that may crash executors
+    :param queue_risk: tells which queues have such tasks
     :param actions: list that the orders are appended to
     """
 
@@ -46,6 +48,7 @@
         job_table: jobtable.JobTable,
         lease_manager: leases.LeaseManager,
         loss_tracker: losses.LossTracker,
+        queue_risk: risk.QueueRisk,
         actions: list[work.Action],
     ) -> None:
         self.starts = 0
@@ -54,11 +57,16 @@
         self._job_table = job_table
         self._leases = lease_manager
         self._losses = loss_tracker
+        self._risk = queue_risk
         self._actions = actions
         self._trials = exposure.ExposedExecutors(
             executors_by_id=executors_by_id,
             runs_tasks=lambda executor: executor.runs_alone > 0,
         )
+        self._exposed = exposure.ExposedExecutors(
+            executors_by_id=executors_by_id,
+            runs_tasks=lambda executor: executor.risky_runs > 0,
+        )
         self._reservation: _Reservation | None = None
         self._heartbeats: dict[ids.InstanceId, float] = {}
 
@@ -120,6 +128,7 @@
             return
         if self._is_refusable(state, attempt.now):
             return
+        is_risky = self._risk.is_risky(state.job.queue, attempt.now)
         held_back = 0
         while len(state.pending) > held_back:
             task = state.pending[held_back]
@@ -128,11 +137,20 @@
             sharing = losses.sharing(task, attempt.now)
             step = state.job.steps[task.id.step]
             if sharing is losses.Sharing.SHARED:
-                executor = attempt.choose(task.id, step, state.job.service)
+                executor = attempt.choose(
+                    task.id,
+                    step,
+                    state.job.service,
+                    is_risky=is_risky,
+                    is_confined=is_risky
+                    and not self._may_expose(state.job.service, attempt),
+                )
                 if executor is None:
                     break
                 state.pending.remove(task)
-                self._start(state, task, executor, attempt.now)
+                self._start(
+                    state, task, executor, attempt.now, is_risky=is_risky
+                )
                 continue
             executor = None
             if sharing is losses.Sharing.ALONE:
@@ -144,6 +162,21 @@
             self._start_alone(state, task, executor, attempt.now)
         self._update_queue(state)
 
+    def _may_expose(self, service: ids.ServiceId, attempt: "_Attempt") -> bool:
+        """Return whether risky queues may use another executor.
+
+        They may use any while no task of another queue waits.
+        """
+        if attempt.do_others_wait is None:
+            attempt.do_others_wait = any(
+                not self._risk.is_risky(state.job.queue, attempt.now)
+                for state in self._job_table.waiting.ordered()
+            )
+        share = 1.0
+        if attempt.do_others_wait:
+            share = self._risk.share(service, attempt.now)
+        return self._exposed.has_place(share, attempt.now)
+
     def _update_queue(self, state: jobstate.JobState) -> None:
         if state.pending:
             self._job_table.waiting.add(state)
@@ -263,6 +296,7 @@
         executor: executors.Executor,
         now: float,
         *,
+        is_risky: bool = False,
         is_alone: bool = False,
     ) -> None:
         step = state.job.steps[task.id.step]
@@ -275,9 +309,18 @@
             ordered_at=now,
             expected_s=step.estimated_ms / 1000,
             order_deadline_ms=deadline_ms,
+            is_risky=is_risky,
             is_alone=is_alone,
         )
         executor.add_run(run)
+        if is_risky:
+            self._exposed.add(executor, now)
+        self._risk.record_start(
+            state.job.service,
+            state.job.queue,
+            step.room.cpu * run.expected_s,
+            now,
+        )
         executor.lease_deadline_ms = max(
             executor.lease_deadline_ms, deadline_ms
         )
@@ -316,6 +359,8 @@
     :param now: monotonic time, seconds
     :ivar has_room: whether some executor may have room for a waiting task
     :ivar open_tasks: tasks with an unfinished run, None until they are needed
+    :ivar do_others_wait: whether jobs of queues wait that aren't risky, None
+        until it is needed
     """
 
     def __init__(
@@ -328,6 +373,7 @@
     ) -> None:
         self.now = now
         self.open_tasks: set[work.TaskId] | None = None
+        self.do_others_wait: bool | None = None
         self._free_index = free_index
         self._only = only
         self._min_cpu = min_cpu
@@ -335,17 +381,29 @@
         self._too_large: dict[ids.ServiceId, work.Room] = {}
 
     def choose(
-        self, task: work.TaskId, step: work.Step, service: ids.ServiceId
+        self,
+        task: work.TaskId,
+        step: work.Step,
+        service: ids.ServiceId,
+        *,
+        is_risky: bool,
+        is_confined: bool,
     ) -> executors.Executor | None:
-        """Return the best executor for a task, or None if none fits."""
+        """Return the best executor for a task, or None if none fits.
+
+        :param is_risky: whether the task is of a risky queue
+        :param is_confined: whether only executors with such tasks may be used
+        """
         too_large = self._too_large.get(service)
         if too_large is not None and step.room.holds(too_large):
             return None
         candidates = self._candidates(service, step.room.cpu)
-        executor = placement.choose(candidates, task, step)
+        if is_confined:
+            candidates = (each for each in candidates if each.risky_runs)
+        executor = placement.choose(candidates, task, step, is_risky=is_risky)
         if executor is None:
             self.has_room = self._has_room()
-            if not (step.required_label or step.most_together):
+            if not (step.required_label or step.most_together or is_confined):
                 self._too_large[service] = step.room
         return executor
 
