Executors: one with runs of unknown size has no free resources

Cause: a run that another holder ordered was charged as the whole executor, at the size reported then. After the executor had shrunk and grown again, the difference counted as free, so a start could exceed the capacity (LIMIT). Change: while such runs are there, nothing is free whatever the size.

--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -109,6 +109,7 @@
     is_reserved: bool = False
     risky_runs: int = 0
     runs_alone: int = 0
+    orphans: int = 0
     draining_since: float = 0.0
     is_gone: bool = False
     is_fenced: bool = False
@@ -122,9 +123,7 @@
     @property
     def is_owned(self) -> bool:
         """Whether this holder has ordered or adopted all of its runs."""
-        return self.is_synced and not any(
-            run.is_orphan for run in self.runs.values()
-        )
+        return self.is_synced and not self.orphans
 
     def __post_init__(self) -> None:
         """Calculate the free resources."""
@@ -172,6 +171,7 @@
         self.runs[run.task] = run
         self.risky_runs += run.is_risky
         self.runs_alone += run.is_alone
+        self.orphans += run.is_orphan
         self.used = self.used.plus(run.room)
         self._update_free()
 
@@ -181,12 +181,15 @@
         if run is not None:
             self.risky_runs -= run.is_risky
             self.runs_alone -= run.is_alone
+            self.orphans -= run.is_orphan
             self.used = self.used.minus(run.room)
             self._update_free()
         return run
 
     def _update_free(self) -> None:
-        self.free = self.report.room.minus(self.used)
+        # The resources of orphaned runs are unknown.
+        room = work.Room() if self.orphans else self.report.room
+        self.free = room.minus(self.used)
         self.on_free_changed(self)
 
     def may_start(self, now: float) -> bool:
--- a/chervilwheel/workers/reconciler.py
+++ b/chervilwheel/workers/reconciler.py
@@ -98,8 +98,7 @@
         run = executors.Run(
             task=row.task,
             number=row.run,
-            # Its resources are unknown, so it reserves the whole executor.
-            room=executor.report.room,
+            room=work.Room(),
             state=executors.RunState.RUNNING,
             ordered_at=now,
             expected_s=0.0,
