Engine: a job that fits an executor's full size isn't refused as too large

Cause: whether a job can ever fit was decided by the sizes that executors report now, so one that fits after a shrunk executor grows again was told to come back in 60 s. Change: the largest size that an executor has reported decides.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -235,8 +235,8 @@
         if self._rooms is None:
             self._rooms = {}
             for executor in self.executors.values():
-                report = executor.report
-                self._rooms.setdefault(report.service, set()).add(report.room)
+                rooms = self._rooms.setdefault(executor.report.service, set())
+                rooms.add(executor.largest_room)
         rooms = self._rooms.get(job.service, ())
         return bool(rooms) and not all(
             any(room.holds(step.room) for room in rooms) for step in job.steps
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -67,6 +67,7 @@
     """One incarnation of an executor.
 
     :ivar stop_s: maximum time that it takes to stop a run, seconds
+    :ivar largest_room: the largest resources that it has reported
     :ivar processed_upto: number of the last ended run processed here
     :ivar acked_upto: number of the last ended run acknowledged to it
     :ivar is_synced: whether its lists have been read under the current token
@@ -89,6 +90,7 @@
     stop_s: float
     used: work.Room = work.Room()
     free: work.Room = work.Room()
+    largest_room: work.Room = work.Room()
     runs: dict[work.TaskId, Run] = dataclasses.field(default_factory=dict)
     processed_upto: int = 0
     acked_upto: int = 0
@@ -128,11 +130,13 @@
     def __post_init__(self) -> None:
         """Calculate the free resources."""
         self.free = self.report.room
+        self.largest_room = self.report.room
 
     def update_report(self, report: work.ExecutorReport) -> None:
         """Store a newer status report."""
         has_changed = report.room != self.report.room
         self.report = report
+        self.largest_room = self.largest_room.largest(report.room)
         if has_changed:
             self._update_free()
 
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -40,6 +40,10 @@
             self.accelerators - other.accelerators,
         )
 
+    def largest(self, other: "Room") -> "Room":
+        """Return the larger amount of each resource."""
+        return Room(*map(max, self, other))
+
 
 class Step(typing.NamedTuple):
     """A group of identical tasks of a job.
