Engine: an executor that rejects starts for want of room is asked less often

Cause: after a rejection the executor was tried again every 0.05 s, until its next report told that it had shrunk. Change: the pause doubles up to 0.8 s, until a start is accepted or a report arrives.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -30,7 +30,10 @@
 # Maximum time that a holder without a quorum may use executors whose reports
 # don't arrive here.
 EXECUTOR_RETENTION_S = 60.0
+# Doubled with each rejection up to the maximum, since an executor that has
+# shrunk is known to have only with its next report.
 NO_ROOM_PAUSE_S = 0.05
+MAX_NO_ROOM_PAUSE_S = 0.8
 # The longest tasks that are running now have ended by then.
 NO_ROOM_RETRY_MS = 1_000
 # Larger executors can only appear when the deployment changes.
@@ -299,6 +302,7 @@
         if verdict is work.StartVerdict.STARTED:
             run.confirmed_at = now
             run.percent_at = now
+            executor.rejections = 0
             if run.state is not executors.RunState.STOPPING:
                 run.state = executors.RunState.RUNNING
             return
@@ -318,8 +322,12 @@
         verdict: work.StartVerdict,
         now: float,
     ) -> None:
+        no_room_pause_s = min(
+            MAX_NO_ROOM_PAUSE_S, NO_ROOM_PAUSE_S * 2**executor.rejections
+        )
+        executor.rejections += verdict is work.StartVerdict.NO_ROOM
         pauses = {
-            work.StartVerdict.NO_ROOM: NO_ROOM_PAUSE_S,
+            work.StartVerdict.NO_ROOM: no_room_pause_s,
             work.StartVerdict.UNHEALTHY: UNHEALTHY_PAUSE_S,
             work.StartVerdict.FENCED: leases.RENEWAL_RETRY_S,
             work.StartVerdict.NOT_SENT: leases.RENEWAL_RETRY_S,
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -80,6 +80,8 @@
         they were not
     :ivar listed_at: when the latest lists received were requested
     :ivar unreachable_since: time of the first failed renewal, 0 if reachable
+    :ivar rejections: starts rejected for want of room since its last report
+        or accepted start
     :ivar lost_together: number of its runs when it became unreachable
     :ivar is_reserved: whether it is kept free for a task that runs alone
     :ivar on_free_changed: called after each change of the free resources
@@ -112,6 +114,7 @@
     risky_runs: int = 0
     runs_alone: int = 0
     orphans: int = 0
+    rejections: int = 0
     draining_since: float = 0.0
     is_gone: bool = False
     is_fenced: bool = False
@@ -136,6 +139,7 @@
         """Store a newer status report."""
         has_changed = report.room != self.report.room
         self.report = report
+        self.rejections = 0
         self.largest_room = self.largest_room.largest(report.room)
         if has_changed:
             self._update_free()
