Starter: spare capacity is only worked out once an executor is empty

Cause: read again: each look at a task that waits to run alone passed over all executors, at every event; a reserved executor stayed so while nothing waited; a job with two tasks to be given up at once would have been answered twice. Change: look for an empty executor first, release the reservation in each round, answer a job once.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -399,7 +399,8 @@
     ) -> None:
         """Fail jobs with a task that crashes its executors."""
         for state in states:
-            self._finish(state, work.Outcome.FAILED, now, reason=CRASHES)
+            if not state.is_finished:
+                self._finish(state, work.Outcome.FAILED, now, reason=CRASHES)
 
     def stopped(
         self, order: work.StopOrder, clock_ms: int, now: float
--- a/chervilwheel/workers/losses.py
+++ b/chervilwheel/workers/losses.py
@@ -203,7 +203,7 @@
                 },
             )
             self._report(state)
-            if _is_given_up(task) and not state.is_finished:
+            if _is_given_up(task):
                 given_up.append(state)
         return given_up
 
--- a/chervilwheel/workers/starter.py
+++ b/chervilwheel/workers/starter.py
@@ -83,9 +83,9 @@
             than at the last call; None if any may
         """
         self._job_table.waiting.advance(now)
+        self._place_reserved(now)
         if not self._job_table.waiting:
             return
-        self._place_reserved(now)
         attempt = self._begin(now, changed)
         if not attempt.has_room:
             return
@@ -194,14 +194,14 @@
         The task waits for spare capacity at first, as it may take the
         executor away from others.
         """
-        has_waited = attempt.now - task.lost_at >= MAX_SPARE_WAIT_S
-        if not has_waited and not self._has_spare_capacity(state.job.service):
-            return None
         if not self._trials.has_place(MAX_TRIAL_SHARE, attempt.now):
             return None
         step = state.job.steps[task.id.step]
         executor = attempt.choose_empty(task.id, step, state.job.service)
-        if executor is None and has_waited and self._reservation is None:
+        if attempt.now - task.lost_at < MAX_SPARE_WAIT_S:
+            is_spare = executor and self._has_spare_capacity(state.job.service)
+            return executor if is_spare else None
+        if executor is None and self._reservation is None:
             self._reserve(state, task, attempt.now)
         return executor
 
