--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -1,5 +1,7 @@
 """Tests of control hosts and entry hosts together, in virtual time."""
 
+import zlib
+
 import testtools
 
 from chervilwheel import addresses
@@ -23,10 +25,12 @@
 
 def report(number, *, zone="north"):
     """Return the report of an executor."""
+    name = f"x-{number}"
+    port = 1 + zlib.crc32(name.encode()) % 65_535
     return work.ExecutorReport(
-        id=work.ExecutorId(f"x-{number}"),
+        id=work.ExecutorId(name),
         service=ids.ServiceId("service"),
-        address=addresses.Address("10.2.0.1", 80),
+        address=addresses.Address("10.2.0.1", port),
         zone=ids.ZoneId(zone),
         room=work.Room(16_000, 65_536),
         labels=(),
@@ -91,6 +95,33 @@
         return int(self._heap.clock.now() * 1000)
 
 
+class CrashingPort(AnsweringPort):
+    """Executors that crash under the first run that they start.
+
+    :param crashed: their ids, shared by the ports of all hosts
+    """
+
+    def __init__(self, heap, *, crashed):
+        super().__init__(heap)
+        self._crashed = crashed
+
+    def start(self, order, done):
+        """Accept a run and crash."""
+        if order.executor in self._crashed:
+            self._answer(lambda: done(work.StartVerdict.NOT_SENT, 0))
+            return
+        super().start(order, done)
+        self._heap.call_later(0.01, lambda: self._crashed.add(order.executor))
+
+    def hold(self, order, done):
+        """Accept a renewal of a live executor."""
+        if order.executor not in self._crashed:
+            super().hold(order, done)
+            return
+        unknown = work.HoldAnswer(work.HoldVerdict.UNKNOWN)
+        self._answer(lambda: done(unknown))
+
+
 class HostsTest(testtools.TestCase):
     """Base class of tests with several hosts."""
 
@@ -212,6 +243,28 @@
         self.assertEqual(1, len(answers))
 
 
+class CrashedExecutorTest(HostsTest):
+    """Executors crash under a task, and then the holder is lost."""
+
+    def test_the_next_holder_knows_the_executors_lost_under_a_task(self):
+        crashed = set()
+        world = self.world(
+            entries=2,
+            make_port=lambda heap: CrashingPort(heap, crashed=crashed),
+        )
+        self.report_executors(world, by_zone=4)
+        entry = next(iter(world.entries.values()))
+        entry.jobs.submit(job(), lambda _answer: None)
+        world.run(3.0)
+        self.assertEqual(2, len(crashed))
+        former = world.holder()
+        world.stop(former)
+        world.run(5.0)
+        self.assertNotEqual(former, entry.jobs.holder.host)
+        # It waits until one of the two losses is explained.
+        self.assertEqual(2, len(crashed))
+
+
 class StandbyTest(HostsTest):
     """Entry hosts take over the executors without any control host."""
 
