--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -320,6 +320,30 @@
         (answer,) = answers
         self.assertIs(work.Outcome.REFUSED, answer.outcome)
 
+    def starts_after_resize(self, cpu):
+        """Return how often a standby starts a task of 8,000 after a resize.
+
+        The executors list no runs, so it starts what fits again and again.
+        """
+        world = self.world(entries=2, make_port=AnsweringPort)
+        self.report_executors(world, by_zone=1)
+        control = next(iter(world.controls.values()))
+        for zone in hostworld.ZONES:
+            resized = report(f"{zone}-0", zone=zone)._replace(
+                room=work.Room(cpu, 65_536), sequence=2
+            )
+            control.report(resized)
+        world.run(0.5)
+        self.stop_controls(world)
+        entry = next(iter(world.entries.values()))
+        entry.jobs.submit(job(), lambda _answer: None)
+        world.run(0.5)
+        return sum(len(world.ports[host].starts) for host in world.entries)
+
+    def test_a_standby_knows_a_capacity_that_has_shrunk(self):
+        self.assertEqual(0, self.starts_after_resize(4_000))
+        self.assertLess(0, self.starts_after_resize(8_000))
+
     def test_small_zones_share_a_standby(self):
         world = self.world(entries=12)
         self.report_executors(world, by_zone=1)
