Starter: a reserved executor is used by the same checks as any other

Cause: read again: the task that an executor was kept free for was started without the check that no earlier run of it is still open. Change: it goes through the placing of its job, at the head of each round.

--- a/chervilwheel/workers/starter.py
+++ b/chervilwheel/workers/starter.py
@@ -83,10 +83,12 @@
             than at the last call; None if any may
         """
         self._job_table.waiting.advance(now)
-        self._place_reserved(now)
+        self._check_reserved(now)
         if not self._job_table.waiting:
             return
         attempt = self._begin(now, changed)
+        if self._reservation is not None:
+            self._place_job(self._reservation.state, attempt)
         if not attempt.has_room:
             return
         for state in self._job_table.waiting.ordered():
@@ -196,6 +198,9 @@
         """
         if not self._trials.has_place(MAX_TRIAL_SHARE, attempt.now):
             return None
+        executor = self._take_reserved(task)
+        if executor is not None:
+            return executor
         step = state.job.steps[task.id.step]
         executor = attempt.choose_empty(task.id, step, state.job.service)
         if attempt.now - task.lost_at < MAX_SPARE_WAIT_S:
@@ -233,34 +238,36 @@
             executor.is_reserved = True
             self._reservation = _Reservation(state, task, executor)
 
-    def _place_reserved(self, now: float) -> None:
-        """Start the task that an executor is reserved for, once it is empty.
+    def _take_reserved(self, task: jobstate.Task) -> executors.Executor | None:
+        """Return the executor reserved for a task once it is empty."""
+        if self._reservation is None or self._reservation.task is not task:
+            return None
+        executor = self._reservation.executor
+        if executor.runs:
+            return None
+        self._release_reserved()
+        return executor
 
-        The executor is released if it can't be used or the task has ended.
-        """
+    def _release_reserved(self) -> None:
+        if self._reservation is not None:
+            self._reservation.executor.is_reserved = False
+            self._reservation = None
+
+    def _check_reserved(self, now: float) -> None:
+        """Release the reserved executor if it can't be used any more."""
         if self._reservation is None:
             return
         state, task, executor = self._reservation
+        step = state.job.steps[task.id.step]
         executor.is_reserved = False
-        is_wanted = (
+        is_usable = (
             task in state.pending
-            and losses.sharing(task, now) is losses.Sharing.ALONE
-            and self._trials.has_place(MAX_TRIAL_SHARE, now)
-            and not state.is_taking_over
-            and self._is_entry_live(state.entry, now)
-        )
-        step = state.job.steps[task.id.step]
-        may_use = executor.may_start(now) and executor.report.room.holds(
-            step.room
+            and executor.may_start(now)
+            and executor.report.room.holds(step.room)
         )
-        if is_wanted and may_use and executor.runs:
-            executor.is_reserved = True
-            return
-        self._reservation = None
-        if is_wanted and may_use:
-            state.pending.remove(task)
-            self._start_alone(state, task, executor, now)
-            self._update_queue(state)
+        executor.is_reserved = is_usable
+        if not is_usable:
+            self._reservation = None
 
     def _start_alone(
         self,
