--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,6 +1,7 @@
 """Tests of tasks that crash the executors that start them."""
 
 import collections
+import functools
 import random
 
 import testtools
@@ -130,6 +131,22 @@
         world.run(30.0)
         self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
 
+    def test_an_executor_is_kept_free_for_a_task_that_runs_alone(self):
+        world = workerworld.World(workers=3, cpu=100_000)
+        world.run(0.5)
+        job = self.submit(world)
+        for number in range(400):
+            # More than fits, so that no executor becomes empty by itself.
+            work_s = 0.25 + 0.013 * (number % 9)
+            world.at(
+                0.1 + number * 0.015,
+                functools.partial(world.submit, tasks=1, work_s=work_s),
+            )
+        world.run(workerworld.RESTART_S - 0.2)
+        self.assertEqual(2, world.starts_of[work.TaskId(job, 0, 0)])
+        world.run(10.0)
+        self.check_given_up(world, job)
+
     def test_a_job_sent_again_after_it_was_given_up_is_not_started(self):
         world = workerworld.World(workers=12)
         world.run(0.5)
