--- a/tests/test_baselines.py
+++ b/tests/test_baselines.py
@@ -147,7 +147,7 @@
 def test_it_beats_random_placement_where_placement_matters(monkeypatch):
     rng = random.Random(7)
 
-    def choose(candidates, task, step):
+    def choose(candidates, task, step, *, is_risky=False):
         choices = fitting(candidates, step)
         return rng.choice(choices) if choices else None
 
@@ -162,7 +162,7 @@
 ):
     speeds = {}
 
-    def choose(candidates, task, step):
+    def choose(candidates, task, step, *, is_risky=False):
         choices = fitting(candidates, step)
         return max(choices, key=lambda e: speeds[e.id], default=None)
 
