Evacuate zones: replicated table, pushes, permission of a standby

Cause: an operator had no way to take an availability zone out of use.

Change: orders for zones are commands of the group of the document. Each is based on the revision of the zone's row, so that a delayed one undoes no later one, and is acknowledged once a majority has it. Statuses and heartbeats carry the evacuated zones; the leader sends them before the acknowledgement. The runner of the engine checks the zone again when it sends a start. A new leader waits until an entry of its own term is applied: its lease was valid once that was committed, with the entries before it possibly not applied yet. A standby holder starts tasks only while it can't have missed an order for longer than evacuation_ms less 0.5 s. Answers count from the time of the heartbeat that they answer, so that a paused host doesn't take buffered ones for new. Engine.close_zones is minimal here.

Ruled out: an echo in the holder's periodic status. Entry hosts ask for an answer instead when they get none for 1 s.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -14,15 +14,18 @@
 from chervilwheel import replica
 from chervilwheel.control import deltas
 from chervilwheel.control import documents
+from chervilwheel.control import evacuations
 from chervilwheel.control import founding
 from chervilwheel.control import groupcalls
 from chervilwheel.control import holding
 from chervilwheel.control import nodesettings
+from chervilwheel.control import permission
 from chervilwheel.control import pushes
 from chervilwheel.control import relay
 from chervilwheel.control import runtime
 from chervilwheel.control import scopes
 from chervilwheel.control import tokens
+from chervilwheel.control import zoneorders
 from chervilwheel.workers import ports
 from chervilwheel.workers import work
 
@@ -40,6 +43,11 @@
 # A restart replays what is not compacted; a change takes some 500 bytes.
 COMPACT_BYTES = 128 * 1024
 LEADERSHIP_TRANSFER_S = 1.0
+# A host that polled its leadership longer ago was paused, and reads what was
+# sent to it before. It takes the leader's messages for recent again once the
+# old ones are read.
+MAX_POLL_GAP_S = 0.3
+RESUMED_S = 0.5
 
 
 class ControlHost:
@@ -69,12 +77,15 @@
         self._standby_zones = scopes.StandbyZones(
             zones=node.cfg.zones,
             reports=lambda: (report for _, report in self._reports.values()),
+            evacuated=lambda: self._zone_view.evacuated,
         )
+        self._zone_view = evacuations.ZoneView(part="control")
         self._pushes = pushes.PushTracker()
         self._started_at = self._heap.clock.now()
         self._is_stopping = False
         self._is_push_due = False
         self._is_entry_news_due = False
+        self._polled_at = self._resumed_at = self._started_at
         self.holder_role = holding.HolderRole(
             me=node.cfg.id,
             heap=node.heap,
@@ -85,11 +96,20 @@
             lease_limits=node.cfg.lease_limits,
         )
         self._relays = relay.Relays(me=node.cfg.id, links=node.links)
-        self.machine = documents.DocumentMachine(applied=self._on_document)
+        self.machine = documents.DocumentMachine(
+            applied=self._on_document, zones_changed=self._on_zones
+        )
         self._group = self._open_group(node.cfg)
         self._calls = groupcalls.GroupCalls(
             host=self._group, links=node.links, heap=self._heap
         )
+        self._zone_orders = zoneorders.ZoneOrders(
+            calls=self._calls,
+            heap=self._heap,
+            zones=node.cfg.zones,
+            table=lambda: self.machine.zones,
+            timeout_s=OPERATOR_TIMEOUT_S,
+        )
         self._register_handlers()
         self._add_metrics()
         self._heap.call_every(LEADERSHIP_POLL_S, self._check_leadership)
@@ -190,6 +210,45 @@
 
         self._calls.call(command, OPERATOR_TIMEOUT_S, answered)
 
+    @property
+    def zones(self) -> evacuations.ZoneTable:
+        """The evacuations as applied by this host."""
+        return self.machine.zones
+
+    def order_zone(
+        self,
+        zone: ids.ZoneId,
+        *,
+        is_evacuated: bool,
+        origin: str,
+        done: zoneorders.Done,
+        is_abandoned: zoneorders.IsAbandoned = lambda: False,
+    ) -> None:
+        """Evacuate or restore a zone.
+
+        :param origin: where the order came from, for the audit
+        :param done: receives True once the order is committed, False after a
+            timeout
+        :param is_abandoned: whether the client has disconnected
+        :raises errors.InvalidRequest: when the zone is unknown
+        """
+        self._zone_orders.order(
+            zone,
+            is_evacuated=is_evacuated,
+            origin=origin,
+            done=done,
+            is_abandoned=is_abandoned,
+        )
+
+    def read_zones(
+        self, done: typing.Callable[[evacuations.ZoneTable | None], None]
+    ) -> None:
+        """Read the evacuations from a quorum.
+
+        :param done: receives the table, None after a timeout
+        """
+        self._zone_orders.read(done)
+
     def stop(self) -> None:
         """Transfer leadership, then stop; a second call stops at once."""
         if self._is_stopping:
@@ -269,6 +328,12 @@
         registry.register("learners", lambda: len(self.member.config.learners))
         registry.register("executors", lambda: len(self._reports))
         registry.register("document_version", lambda: self.machine.version)
+        registry.register(
+            "zones_evacuated", lambda: len(self._zone_view.evacuated)
+        )
+        registry.register(
+            "zone_orders_total", lambda: self._zone_orders.orders
+        )
         registry.register("syncs", lambda: self._group.syncs)
         registry.register("is_disk_failed", lambda: self._group.is_halted)
         registry.register_table("holder_", self.holder_role.metric_values)
@@ -321,6 +386,9 @@
         self.holder_role.record_entry(
             link, followed_holder=message.holder, zone=message.zone
         )
+        self._update_zones(
+            message.zones_revision, message.evacuated, link.peer
+        )
         self.holder_role.record_token(message.token)
         self._pushes.record_heartbeat(
             link,
@@ -332,9 +400,10 @@
         if is_new:
             reports = tuple(each for _, each in self._reports.values())
             link.send(messages.ExecutorNews(reports))
-        # The holder sends its status periodically.
-        if is_new or not self.holder_role.is_active:
-            link.send(self._status())
+        # The holder sends its status periodically, the same to all.
+        is_periodic = self.holder_role.is_active and not message.is_probe
+        if is_new or not is_periodic:
+            link.send(self._status()._replace(echo=message.stamp))
         if is_new or previous.zone != message.zone:
             self._is_entry_news_due = True
 
@@ -351,7 +420,8 @@
         for zone in {entry_link.zone for entry_link in entries.values()}:
             shared = self._standby_zones.shared_with(zone)
             news = messages.EntryNews(
-                tuple(entry for entry in known if entry.zone in shared)
+                tuple(entry for entry in known if entry.zone in shared),
+                permission.choose_witnesses(known, zone),
             )
             for entry_link in entries.values():
                 if entry_link.zone == zone:
@@ -365,6 +435,29 @@
             self._is_push_due = True
             self._heap.call_later(0.0, self._push_all)
 
+    def _on_zones(self, table: evacuations.ZoneTable) -> None:
+        newest = table.audit[-1].origin if table.audit else ""
+        self._update_zones(table.revision, table.evacuated, newest)
+
+    def _update_zones(
+        self,
+        revision: int,
+        evacuated: typing.Iterable[ids.ZoneId],
+        origin: str,
+    ) -> None:
+        """Take over the evacuated zones if they are newer.
+
+        This host's orders end and the entry hosts are told before the order
+        is acknowledged.
+        """
+        if not self._zone_view.update(revision, evacuated, origin):
+            return
+        self._standby_zones.reset()
+        self._is_entry_news_due = True
+        if self.holder_role.is_active:
+            self.holder_role.close_zones(self._zone_view.evacuated)
+            self.holder_role.send_status(self._status())
+
     def _is_sender_for(self, holder: ids.InstanceId) -> bool:
         """Whether this host sends documents to followers of a holder.
 
@@ -407,6 +500,19 @@
             counts=self.holder_role.counts(),
             has_quorum=self._has_quorum(),
             token=self.holder_role.highest_token,
+            zones_revision=self._zone_view.revision,
+            evacuated=tuple(sorted(self._zone_view.evacuated)),
+            is_current=self._is_current(),
+        )
+
+    def _is_current(self) -> bool:
+        """Whether this host knows all orders that were acknowledged."""
+        now = self._heap.clock.now()
+        return (
+            not self._group.is_halted
+            and self.member.is_current(now)
+            and now - self._polled_at < MAX_POLL_GAP_S
+            and now - self._resumed_at >= RESUMED_S
         )
 
     def _has_quorum(self) -> bool:
@@ -425,7 +531,9 @@
 
     def _send_status(self) -> None:
         self._remove_old_reports()
+        known = len(self.holder_role.entries)
         self.holder_role.remove_silent_entries()
+        self._is_entry_news_due |= len(self.holder_role.entries) != known
         if self.holder_role.is_active:
             self.holder_role.send_status(self._status())
 
@@ -442,10 +550,16 @@
 
     def _check_leadership(self) -> None:
         """Become the holder or stop being it when leadership changes."""
+        now = self._heap.clock.now()
+        if now - self._polled_at >= MAX_POLL_GAP_S:
+            self._resumed_at = now
+        self._polled_at = now
         for name in self._control_hosts():
             self._node.add_host(name)
         if not self.holder_role.is_active:
-            if self._group.is_leader and self._may_send_orders():
+            # A committed order may not be applied yet.
+            is_ready = self._group.is_leader and self._may_send_orders()
+            if is_ready and self._group.has_applied_own_term:
                 self._become_holder()
         elif not self._group.is_leader:
             self.holder_role.end("leadership lost")
@@ -461,6 +575,7 @@
             reports_complete_at=self._started_at + 2 * self._cfg.heartbeat_s,
             reports=live,
             may_send_orders=self._may_send_orders,
+            closed_zones=self._zone_view.evacuated,
         )
         self._send_status()
 
--- a/chervilwheel/control/documents.py
+++ b/chervilwheel/control/documents.py
@@ -11,6 +11,7 @@
 from chervilwheel import grouphost
 from chervilwheel import ids
 from chervilwheel.control import deltas
+from chervilwheel.control import evacuations
 
 _LOG = logging.getLogger("control")
 GROUP = "document"
@@ -112,10 +113,27 @@
     data: bytes
 
 
+class ControlState(typing.NamedTuple):
+    """The whole state once a zone was ordered."""
+
+    document: DocumentReply
+    zones: evacuations.ZoneTable
+
+
 CODEC = codec.Codec(
     schema="records.capnp",
     root="Record",
-    kinds=[PutDocument, ChangeDocument, ReadDocument, DocumentReply],
+    kinds=[
+        PutDocument,
+        ChangeDocument,
+        ReadDocument,
+        DocumentReply,
+        ControlState,
+        evacuations.OrderZone,
+        evacuations.OrderReply,
+        evacuations.ReadZones,
+        evacuations.ZoneTable,
+    ],
 )
 
 # A chain of deltas that is longer than this is replaced by the whole document.
@@ -123,6 +141,7 @@
 MAX_CHAIN_DELTAS = 64
 
 Applied = typing.Callable[[int, bytes], None]
+ZonesChanged = typing.Callable[[evacuations.ZoneTable], None]
 
 
 class _Step(typing.NamedTuple):
@@ -133,15 +152,23 @@
 
 
 class DocumentMachine(grouphost.Machine):
-    """State machine that stores the newest document.
+    """State machine that stores the newest document and the evacuations.
 
     :param applied: receives the version and bytes of each newer document
+    :param zones_changed: receives each newer table of evacuations
     """
 
-    def __init__(self, *, applied: Applied) -> None:
+    def __init__(
+        self,
+        *,
+        applied: Applied,
+        zones_changed: ZonesChanged = lambda _table: None,
+    ) -> None:
         self.version = 0
         self.data = b""
+        self.zones = evacuations.ZoneTable()
         self._applied = applied
+        self._zones_changed = zones_changed
         self._last_wall_ms = 0
         self._steps: collections.deque[_Step] = collections.deque()
         self._steps_bytes = 0
@@ -178,17 +205,35 @@
         return 0, (self._whole[1],)
 
     def dump(self) -> bytes:
-        """Encode the newest document."""
-        return CODEC.encode(DocumentReply(self.version, self.data))
+        """Encode the state.
+
+        Without any order this is a form that earlier versions read.
+        """
+        document = DocumentReply(self.version, self.data)
+        if not self.zones.revision:
+            return CODEC.encode(document)
+        return CODEC.encode(ControlState(document, self.zones))
 
     def load(self, data: bytes) -> None:
-        """Restore a dumped document; empty bytes change nothing."""
+        """Restore a dumped state where it is newer.
+
+        Entries that are applied again after an older snapshot change nothing.
+        """
         if not data:
             return
         state = CODEC.decode(data)
+        if isinstance(state, ControlState):
+            self._store_zones_if_newer(state.zones)
+            state = state.document
         self._store_if_newer(state.version, state.data)
 
-    def _run(self, command: typing.Any) -> DocumentReply:
+    def _run(self, command: typing.Any) -> typing.Any:
+        if isinstance(command, evacuations.OrderZone):
+            table, reply = self.zones.apply(command)
+            self._store_zones_if_newer(table)
+            return reply
+        if isinstance(command, evacuations.ReadZones):
+            return self.zones
         if isinstance(command, PutDocument):
             self._store_if_newer(command.version, command.data)
             return DocumentReply(self.version, b"")
@@ -218,6 +263,11 @@
             self._clear_steps()
         self._store(command.version, data)
 
+    def _store_zones_if_newer(self, table: evacuations.ZoneTable) -> None:
+        if table.revision > self.zones.revision:
+            self.zones = table
+            self._zones_changed(table)
+
     def _store_if_newer(self, version: int, data: bytes) -> None:
         if version > self.version:
             self._clear_steps()
--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -28,6 +28,7 @@
     :param bump: the bump of the engine's current token
     :param notify: receives the entry host and a notice about its job
     :param may_send_orders: whether orders may be sent now
+    :param may_start: whether tasks may be started now
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         bump: int,
         notify: Notify,
         may_send_orders: typing.Callable[[], bool],
+        may_start: typing.Callable[[], bool] = lambda: True,
     ) -> None:
         self.engine = job_engine
         self._heap = heap
@@ -48,6 +50,8 @@
         self._may_send_orders = may_send_orders
         self._fence = fence
         self._bump = bump
+        self._may_start = may_start
+        self._closed_zones: frozenset[ids.ZoneId] = frozenset()
         self._is_closed = False
         self._heap.call_later(TICK_S, self._tick)
 
@@ -79,6 +83,13 @@
         self.execute_actions()
         return is_known
 
+    def close_zones(self, zones: frozenset[ids.ZoneId]) -> None:
+        """Start nothing in these zones from now on; open all others."""
+        if zones != self._closed_zones:
+            self._closed_zones = zones
+            self.engine.close_zones(zones, self._now())
+            self.execute_actions()
+
     def end_entry_jobs(self, entry: ids.InstanceId) -> None:
         """End the jobs of an entry host whose heartbeats stopped as lost."""
         self.engine.end_entry_jobs(entry, self._now())
@@ -124,11 +135,19 @@
             self.engine.started(order, verdict, clock_ms, self._now())
             self.execute_actions()
 
-        if self._may_send_orders():
+        if self._may_send_orders() and self._may_start_on(order.executor):
             self._port.start(order, done)
         else:
             self._call_next_tick(lambda: done(work.StartVerdict.NOT_SENT, 0))
 
+    def _may_start_on(self, name: work.ExecutorId) -> bool:
+        # The engine may have ordered the start before the zone was closed.
+        executor = self.engine.executors.get(name)
+        is_closed = (
+            executor is not None and executor.report.zone in self._closed_zones
+        )
+        return self._may_start() and not is_closed
+
     def _hold(self, order: work.HoldOrder) -> None:
         sent_at = self._now()
 
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -20,6 +20,7 @@
 from chervilwheel.control import standby
 from chervilwheel.control import startwait
 from chervilwheel.control import tokens
+from chervilwheel.control import zonewatch
 from chervilwheel.workers import ports
 from chervilwheel.workers import work
 
@@ -81,6 +82,10 @@
         self._standby_zones = scopes.StandbyZones(
             zones=node.cfg.zones,
             reports=lambda: (report for _, report in self._reports.values()),
+            evacuated=lambda: self._zone_watch.view.evacuated,
+        )
+        self._zone_watch = zonewatch.ZoneWatch(
+            cfg=node.cfg, heap=node.heap, send=node.links.send
         )
         self._term = 0
         self._standby = standby.Standby(me=self._me)
@@ -110,6 +115,9 @@
         node.metrics.register(
             "document_version", lambda: self.document_version
         )
+        node.metrics.register(
+            "zones_evacuated", lambda: len(self._zone_watch.view.evacuated)
+        )
         for address in node.cfg.seeds:
             self._control_hosts.add(node.add_host(address.host))
         links = node.links
@@ -157,6 +165,9 @@
         self._heartbeats_sent += 1
         self._send_to(self._heartbeat_receivers(now))
         if self._holder_role.is_active:
+            self._zone_watch.probe_witnesses(
+                self._heartbeat(), self._shared_zones()
+            )
             self._holder_role.remove_silent_entries()
             self._holder_role.send_status(self._status())
 
@@ -171,6 +182,7 @@
             self._should_discover(now)
             self._maybe_take_over(now)
             self.jobs.expire(now)
+        self._holder_role.close_zones(self._zone_watch.closed_zones())
 
     def _check_silence(self, holder: entryjobs.HolderId, now: float) -> None:
         silent_s = now - self._holder_seen_at
@@ -218,16 +230,24 @@
     def _send_to(self, receivers: typing.Iterable[ids.InstanceId]) -> None:
         """Send a heartbeat."""
         heartbeat = self._heartbeat()
+        to_control = heartbeat._replace(
+            is_probe=self._zone_watch.is_renewal_due()
+        )
         for name in receivers:
-            if name != self._me:
-                self._node.links.send(name, heartbeat)
+            if name in self._control_hosts:
+                self._node.links.send(name, to_control)
+            elif name != self._me:
+                self._node.links.send(
+                    name, self._zone_watch.with_echo(heartbeat, name)
+                )
         holder = self.jobs.holder
         if holder is not None and self._relays.is_used(holder.host):
             self._relays.send(holder.host, heartbeat)
 
     def _heartbeat(self) -> messages.EntryBeat:
         holder = self.jobs.holder
-        age_s = self._heap.clock.now() - self._holder_seen_at
+        now = self._heap.clock.now()
+        age_s = now - self._holder_seen_at
         return messages.EntryBeat(
             self._me,
             self.document_version,
@@ -237,8 +257,22 @@
             holder is not None
             and self._may_forward(holder.host)
             and age_s <= HOLDER_SUSPECT_S,
+            zones_revision=self._zone_watch.view.revision,
+            evacuated=tuple(sorted(self._zone_watch.view.evacuated)),
+            stamp=now,
+            has_quorum=self._standby.can_elect(now),
         )
 
+    def _on_zones_changed(self) -> None:
+        self._standby_zones.reset()
+        self._holder_role.close_zones(self._zone_watch.closed_zones())
+        if self._holder_role.is_active:
+            # More zones may share this standby now.
+            shared = self._shared_zones()
+            for _, report in self._reports.values():
+                if report.zone in shared and not report.is_gone:
+                    self._holder_role.report(report)
+
     def _may_forward(self, receiver: ids.InstanceId) -> bool:
         """Return whether a host is the leader that this host reaches."""
         holder = self.jobs.holder
@@ -284,14 +318,22 @@
         self, link: peers.MessageLink, heartbeat: messages.EntryBeat
     ) -> None:
         now = self._heap.clock.now()
+        if self._zone_watch.record_heartbeat(link.peer, heartbeat):
+            self._on_zones_changed()
+        if heartbeat.is_probe:
+            # It is of a zone with another standby.
+            link.send(self._zone_watch.with_echo(self._heartbeat(), link.peer))
+            return
         if heartbeat.has_leader:
             self._reach_leader(heartbeat.holder, link.peer, now)
             return
+        self._entry_zones[link.peer] = heartbeat.zone
+        if self._zone_watch.is_witness(link.peer, self._shared_zones()):
+            return
         self._holder_role.record_entry(
             link, followed_holder=heartbeat.holder, zone=heartbeat.zone
         )
         self._holder_role.record_token(heartbeat.token)
-        self._entry_zones[link.peer] = heartbeat.zone
         if heartbeat.zone in self._shared_zones():
             self._standby.record_heartbeat(link.peer, now)
         if self._holder_role.is_active:
@@ -301,7 +343,7 @@
             return
         reply = self._heartbeat()
         if reply.has_leader and heartbeat.holder != reply.holder:
-            link.send(reply)
+            link.send(self._zone_watch.with_echo(reply, link.peer))
 
     def _on_executor_news(
         self, _link: peers.MessageLink, message: messages.ExecutorNews
@@ -352,6 +394,8 @@
             reports_complete_at=now if is_for_all else math.inf,
             reports=reports,
             may_send_orders=lambda: True,
+            closed_zones=self._zone_watch.closed_zones(),
+            may_start=self._zone_watch.may_start,
         )
         self._switch_holder(entryjobs.HolderId(self._me, self._term, True))
 
@@ -362,6 +406,12 @@
             if entry.host != self._me:
                 name = self._node.add_host(entry.host)
                 self._entry_zones[name] = entry.zone
+        self._zone_watch.set_witnesses(
+            {
+                self._node.add_host(entry.host): entry.zone
+                for entry in message.witnesses
+            }
+        )
 
     def _on_control_news(
         self, link: peers.MessageLink, message: messages.ControlNews
@@ -373,6 +423,8 @@
             self._relays.stop_using(message.control)
         for host in message.controls:
             self._control_hosts.add(self._node.add_host(host))
+        if self._zone_watch.record_status(message):
+            self._on_zones_changed()
         if message.has_quorum:
             self._standby.record_quorum(now)
         self._term = max(self._term, message.term)
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -116,6 +116,8 @@
         reports_complete_at: float,
         reports: typing.Iterable[tuple[float, work.ExecutorReport]],
         may_send_orders: typing.Callable[[], bool],
+        closed_zones: frozenset[ids.ZoneId] = frozenset(),
+        may_start: typing.Callable[[], bool] = lambda: True,
     ) -> None:
         """Become the holder and take over the executors that have reported.
 
@@ -124,6 +126,8 @@
             executors that an earlier holder may have used, seconds
         :param reports: each with its arrival time, seconds
         :param may_send_orders: whether orders may be sent now
+        :param closed_zones: zones in which nothing is started
+        :param may_start: whether tasks may be started now
         """
         now = self._heap.clock.now()
         bump = fence.bump_above(self._highest_token)
@@ -141,7 +145,9 @@
             bump=bump,
             notify=self._on_notice,
             may_send_orders=may_send_orders,
+            may_start=may_start,
         )
+        self._runner.close_zones(closed_zones)
         arrived = list(reports)
         _LOG.info(
             "holding: begun",
@@ -150,6 +156,7 @@
                 "side": fence.side,
                 "bump": bump,
                 "executors": len(arrived),
+                "closed": sorted(closed_zones),
             },
         )
         for at, report in arrived:
@@ -166,6 +173,11 @@
             self._runner.close()
             self._runner = None
 
+    def close_zones(self, zones: frozenset[ids.ZoneId]) -> None:
+        """Start nothing in these zones from now on; open all others."""
+        if self._runner is not None:
+            self._runner.close_zones(zones)
+
     def report(self, report: work.ExecutorReport) -> None:
         """Process an executor's report."""
         if self._runner is not None:
--- a/chervilwheel/control/nodesettings.py
+++ b/chervilwheel/control/nodesettings.py
@@ -27,6 +27,8 @@
     :ivar stop_s: maximum time for an executor to end a run, seconds
     :ivar heartbeat_s: interval of an executor's reports, seconds
     :ivar metrics_port: port that serves metrics as text, 0 for none
+    :ivar evacuation_s: time after its acknowledgement by which an evacuation
+        has effect, seconds; 0 where evacuations aren't used
     """
 
     name: str
@@ -45,6 +47,7 @@
     stop_s: float
     heartbeat_s: float
     metrics_port: int
+    evacuation_s: float = 0.0
 
     @property
     def lease_limits(self) -> leases.LeaseLimits:
@@ -95,6 +98,7 @@
         stop_s=reader.number("stop_ms", 50.0) / 1000,
         heartbeat_s=reader.number("heartbeat_ms", 1500.0) / 1000,
         metrics_port=reader.get("metrics_port", int, 0),
+        evacuation_s=reader.number("evacuation_ms", 0.0) / 1000,
     )
 
 
--- a/chervilwheel/grouphost.py
+++ b/chervilwheel/grouphost.py
@@ -125,6 +125,15 @@
         """Whether the replica is the leader and is not halted."""
         return not self.is_halted and self.member.is_leader
 
+    @property
+    def has_applied_own_term(self) -> bool:
+        """Whether an entry of the replica's term was applied.
+
+        On a leader, so were all entries committed in earlier terms.
+        """
+        member = self.member
+        return member.log.term_at(self._applied_index) == member.term
+
     def request(
         self, request: messages.GroupRequest, respond: Respond
     ) -> None:
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -355,6 +355,13 @@
     :ivar holder: the holder that it currently uses, empty if none
     :ivar zone: its availability zone
     :ivar has_leader: whether that holder is the leader, heard of recently
+    :ivar zones_revision: the newest revision of evacuations that it knows
+    :ivar evacuated: the evacuated zones
+    :ivar stamp: the sender's monotonic time, seconds
+    :ivar echo: the stamp of the receiver's latest heartbeat, 0 for none
+    :ivar has_quorum: whether a control host has told it of a quorum recently
+    :ivar is_probe: whether the receiver is to answer at once, an entry host
+        with its heartbeat and a control host with its status
     """
 
     entry: ids.InstanceId
@@ -363,6 +370,12 @@
     holder: ids.InstanceId = ids.InstanceId("")
     zone: ids.ZoneId = ids.ZoneId("")
     has_leader: bool = False
+    zones_revision: int = 0
+    evacuated: tuple[ids.ZoneId, ...] = ()
+    stamp: float = 0.0
+    echo: float = 0.0
+    has_quorum: bool = False
+    is_probe: bool = False
 
 
 class EntryPeer(typing.NamedTuple):
@@ -373,9 +386,13 @@
 
 
 class EntryNews(typing.NamedTuple):
-    """Entry hosts that share a standby with the receiver."""
+    """Entry hosts that share a standby with the receiver.
+
+    :ivar witnesses: some entry hosts of each other zone
+    """
 
     entries: tuple[EntryPeer, ...]
+    witnesses: tuple[EntryPeer, ...] = ()
 
 
 class QueueCount(typing.NamedTuple):
@@ -393,6 +410,11 @@
     :ivar is_standby: whether the sender is the holder without a quorum
     :ivar has_quorum: whether it reaches enough voters for an election
     :ivar token: the highest fencing token that it has received
+    :ivar zones_revision: the newest revision of evacuations that it knows
+    :ivar evacuated: the evacuated zones
+    :ivar echo: the stamp of the heartbeat that this answers, 0 for none
+    :ivar is_current: whether it knows all orders acknowledged up to now, save
+        for a fraction of a second
     """
 
     control: ids.InstanceId
@@ -403,6 +425,10 @@
     is_standby: bool = False
     has_quorum: bool = False
     token: int = 0
+    zones_revision: int = 0
+    evacuated: tuple[ids.ZoneId, ...] = ()
+    echo: float = 0.0
+    is_current: bool = False
 
 
 class DocumentPush(typing.NamedTuple):
--- a/chervilwheel/replica.py
+++ b/chervilwheel/replica.py
@@ -21,6 +21,7 @@
 JOIN_INTERVAL_S = 0.5
 LOW_PRIORITY_FACTOR = 3.0
 ACTIVE_HEARTBEATS = 3.0
+CURRENT_HEARTBEATS = 2.5
 # The lease is shorter than the election timeout to allow for clocks that
 # run at different speeds; hosts' clocks differ by far less than 10 %.
 LEASE_FRACTION = 0.9
@@ -128,6 +129,7 @@
         self._transferred_term = -1
         self._last_message_at: dict[Member, float] = {}
         self._leader_message_at = -math.inf
+        self._current_at = -math.inf
         self._config_index, self.config = self.log.config()
         self._reset_election_timer(now)
 
@@ -180,6 +182,17 @@
         }
         return self._is_quorum({self.me, *recent})
 
+    def is_current(self, now: float) -> bool:
+        """Whether this member knows what was committed a moment ago.
+
+        A deposed leader sends heartbeats for little more than the election
+        timeout, and a follower takes them into account a little longer.
+        """
+        if self.is_leader:
+            return now < self.lease_expires_at()
+        limit_s = CURRENT_HEARTBEATS * self._timing.heartbeat_interval_s
+        return now - self._current_at < limit_s
+
     def take_actions(self) -> Actions:
         """Return the actions due since the last call, and clear them."""
         actions = self._actions
@@ -714,6 +727,8 @@
                 self._store(entry)
         last = prev + len(message.entries)
         self.commit = max(self.commit, min(message.commit, last))
+        if self.commit >= message.commit:
+            self._current_at = now
         self._reply_append(message.sender, True, last)
 
     def _conflict_index(self, prev: int) -> int:
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -337,10 +337,19 @@
   holder @3 :Text;
   zone @4 :Text;
   hasLeader @5 :Bool;
+  zonesRevision @6 :UInt64;
+  evacuated @7 :List(Text);
+  stamp @8 :Float64;
+  echo @9 :Float64;
+  hasQuorum @10 :Bool;
+  isProbe @11 :Bool;
 }
 
 struct EntryPeer { host @0 :Text; zone @1 :Text; }
-struct EntryNews { entries @0 :List(EntryPeer); }
+struct EntryNews {
+  entries @0 :List(EntryPeer);
+  witnesses @1 :List(EntryPeer);
+}
 
 struct QueueCount { queue @0 :Text; waiting @1 :UInt32; }
 
@@ -353,6 +362,10 @@
   isStandby @5 :Bool;
   hasQuorum @6 :Bool;
   token @7 :UInt64;
+  zonesRevision @8 :UInt64;
+  evacuated @9 :List(Text);
+  echo @10 :Float64;
+  isCurrent @11 :Bool;
 }
 
 struct Relayed { sender @0 :Text; receiver @1 :Text; data @2 :Data; }
--- a/chervilwheel/schema/records.capnp
+++ b/chervilwheel/schema/records.capnp
@@ -164,6 +164,41 @@
   delta @2 :Data;
 }
 
+struct ZoneRow {
+  zone @0 :Text;
+  revision @1 :UInt64;
+  isEvacuated @2 :Bool;
+  changedAtMs @3 :UInt64;
+  origin @4 :Text;
+}
+
+struct AuditEntry {
+  revision @0 :UInt64;
+  zone @1 :Text;
+  isEvacuated @2 :Bool;
+  atMs @3 :UInt64;
+  origin @4 :Text;
+}
+
+struct OrderZone {
+  zone @0 :Text;
+  isEvacuated @1 :Bool;
+  base @2 :UInt64;
+  origin @3 :Text;
+  atMs @4 :UInt64;
+}
+
+struct OrderReply { status @0 :Text; revision @1 :UInt64; }
+struct ReadZones {}
+
+struct ZoneTable {
+  revision @0 :UInt64;
+  rows @1 :List(ZoneRow);
+  audit @2 :List(AuditEntry);
+}
+
+struct ControlState { document @0 :DocumentReply; zones @1 :ZoneTable; }
+
 struct Splice { start @0 :UInt64; size @1 :UInt64; inserted @2 :Data; }
 struct Delta { splices @0 :List(Splice); checksum @1 :UInt32; }
 
@@ -194,5 +229,10 @@
     documentReply @22 :DocumentReply;
     changeDocument @23 :ChangeDocument;
     delta @24 :Delta;
+    orderZone @25 :OrderZone;
+    orderReply @26 :OrderReply;
+    readZones @27 :ReadZones;
+    zoneTable @28 :ZoneTable;
+    controlState @29 :ControlState;
   }
 }
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -81,6 +81,7 @@
     ) -> None:
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self.refusals = 0
+        self._closed_zones: frozenset[ids.ZoneId] = frozenset()
         self._began_at = now
         self._ticked_at = now
         # Distinct sizes of executors by service, None after a change.
@@ -157,6 +158,7 @@
                 stop_s=self._limits.stop_s,
                 on_free_changed=self._free_index.update,
             )
+            executor.is_closed = report.zone in self._closed_zones
             self.executors[report.id] = executor
             self._free_index.update(executor)
             self._rooms = None
@@ -175,6 +177,13 @@
         executor.update_clock(report.clock_ms, now)
         self._maintain(executor, now)
 
+    def close_zones(self, zones: frozenset[ids.ZoneId], now: float) -> None:
+        """Start nothing in these zones from now on; open all others."""
+        self._closed_zones = zones
+        for executor in self.executors.values():
+            executor.is_closed = executor.report.zone in zones
+        self._starter.place(now)
+
     def record_entry_heartbeat(
         self, entry: ids.InstanceId, now: float
     ) -> None:
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -83,6 +83,7 @@
     :ivar rejections: starts rejected for want of room since its last report
         or accepted start
     :ivar lost_together: number of its runs when it became unreachable
+    :ivar is_closed: whether its zone is closed
     :ivar is_reserved: whether it is kept free for a task that runs alone
     :ivar on_free_changed: called after each change of the free resources
     """
@@ -110,6 +111,7 @@
     unreachable_since: float = 0.0
     unusable_until: float = 0.0
     lost_together: int = 0
+    is_closed: bool = False
     is_reserved: bool = False
     risky_runs: int = 0
     runs_alone: int = 0
@@ -205,6 +207,7 @@
         return (
             self.is_synced
             and not self.is_gone
+            and not self.is_closed
             and not self.is_retrying
             and not self.report.is_draining
             and not self.is_reserved
--- a/loadtool/hostworld.py
+++ b/loadtool/hostworld.py
@@ -8,6 +8,7 @@
 import contextlib
 import logging
 import pathlib
+import shutil
 import tempfile
 import time
 import types
@@ -74,6 +75,7 @@
         self.other = None
         self._network = network
         self.host = self._host = host
+        self._life = network.lives[host]
 
     def send(self, data):
         """Send data to the other end."""
@@ -88,9 +90,12 @@
 
     def receive(self, data):
         """Pass received data to the owner."""
-        if not self.is_closed and self._host in self._network.running:
+        if not self.is_closed and self._is_running():
             self._network.run_on(self._host, lambda: self.on_data(data))
 
+    def _is_running(self):
+        return self._network.is_running(self._host, self._life)
+
     def close(self):
         """Close this end; the other end is told later."""
         if self.is_closed:
@@ -103,7 +108,7 @@
 
     def abort(self):
         """Close and call ``on_closed``."""
-        if not self.is_closed and self._host in self._network.running:
+        if not self.is_closed and self._is_running():
             self.close()
             if self.on_closed is not None:
                 self._network.run_on(self._host, self.on_closed)
@@ -112,6 +117,7 @@
 class Network:
     """Connects the streams of the hosts that run.
 
+    :ivar lives: number of stops of each host
     :ivar cpu_s: processor time used by each host's callbacks, seconds
     :ivar cuts: pairs of hosts between which data is lost
     :ivar link_rates: capacity of hosts' incoming links, bytes/s; others are
@@ -122,12 +128,17 @@
         self.heap = heap
         self.acceptors = {}
         self.running = set()
+        self.lives = collections.Counter()
         self.connects = 0
         self.cpu_s = collections.defaultdict(float)
         self.cuts = set()
         self.link_rates = {}
         self._link_free_at = collections.defaultdict(float)
 
+    def is_running(self, host, life):
+        """Return whether a host runs and wasn't restarted."""
+        return host in self.running and self.lives[host] == life
+
     def transmission_s(self, host, size):
         """Occupy a host's incoming link; return when it is received.
 
@@ -203,6 +214,7 @@
         self.clock = network.heap.clock
         self._network = network
         self._host = host
+        self._life = network.lives[host]
 
     def call_at(self, when, callback):
         """Run a callback at a time in seconds."""
@@ -223,7 +235,7 @@
 
     def _guard(self, callback):
         def run():
-            if self._host in self._network.running:
+            if self._network.is_running(self._host, self._life):
                 self._network.run_on(self._host, callback)
 
         return run
@@ -236,6 +248,8 @@
     :param entries: number of entry hosts
     :param make_port: makes a host's port to the executors from its timers
     :param decoder: parses documents
+    :param zones: names of the zones
+    :param evacuation_s: time in which an evacuation has effect, seconds
     """
 
     def __init__(
@@ -247,8 +261,14 @@
             lambda _heap: SilentPort()
         ),
         decoder: documents.Decoder | None = None,
+        zones: tuple[str, ...] = ZONES,
+        evacuation_s: float = 0.0,
     ) -> None:
         decoder = decoder or EmptyDecoder()
+        self._decoder = decoder
+        self._make_port = make_port
+        self._zones = zones
+        self._evacuation_s = evacuation_s
         self._stack = contextlib.ExitStack()
         self._folder = pathlib.Path(
             self._stack.enter_context(tempfile.TemporaryDirectory())
@@ -261,21 +281,35 @@
         self.ports = {}
         self.controls = {}
         self.entries = {}
-        seeds = [f"10.0.0.{n + 1}" for n in range(controls)]
-        for host in seeds:
-            node = self._node(host, "control", seeds)
-            self.ports[host] = make_port(node.heap)
-            self.controls[host] = controlhost.ControlHost(
-                node=node, decoder=decoder, port=self.ports[host]
-            )
+        self._zone_of = {}
+        self._seeds = [f"10.0.0.{n + 1}" for n in range(controls)]
+        for host in self._seeds:
+            self._start_control(host)
         for number in range(entries):
             host = f"10.1.0.{number + 1}"
-            node = self._node(host, "entry", seeds)
+            node = self._node(host, "entry", self._seeds)
             self.ports[host] = make_port(node.heap)
             self.entries[host] = entryhost.EntryHost(
                 node=node, decoder=decoder, port=self.ports[host]
             )
 
+    def _start_control(self, host, *, is_founding=True):
+        node = self._node(host, "control", self._seeds)
+        node.cfg = node.cfg._replace(is_founding=is_founding)
+        self.ports[host] = self._make_port(node.heap)
+        self.controls[host] = controlhost.ControlHost(
+            node=node, decoder=self._decoder, port=self.ports[host]
+        )
+
+    def restart(self, host, *, is_wiped=False):
+        """Start a control host that was stopped, with its disk.
+
+        :param is_wiped: whether the disk has lost its data
+        """
+        if is_wiped:
+            shutil.rmtree(self._folder / host)
+        self._start_control(host, is_founding=not is_wiped)
+
     def close(self):
         """Remove the data of all hosts."""
         logging.disable(logging.NOTSET)
@@ -286,12 +320,15 @@
 
     def _node(self, host, role, seeds):
         folder = self._folder / host
+        zone = self._zone_of.setdefault(
+            host, self._zones[len(self._zone_of) % len(self._zones)]
+        )
         cfg = nodesettings.NodeSettings(
             name=host,
             role=role,
             host=host,
-            zone=ids.ZoneId(ZONES[len(self.nodes) % len(ZONES)]),
-            zones=ZONES,
+            zone=ids.ZoneId(zone),
+            zones=self._zones,
             listen={},
             seeds=tuple(
                 addresses.Address(seed, CONTROL_PORT) for seed in seeds
@@ -305,6 +342,7 @@
             stop_s=0.05,
             heartbeat_s=1.5,
             metrics_port=0,
+            evacuation_s=self._evacuation_s,
         )
         self.network.running.add(host)
         heap = HostHeap(self.network, host)
@@ -342,6 +380,7 @@
     def stop(self, host):
         """Stop a host as a loss of power does."""
         self.network.running.discard(host)
+        self.network.lives[host] += 1
 
     def run(self, seconds):
         """Advance the time and run what is due."""
@@ -368,7 +407,8 @@
         hosts = {**self.controls, **self.entries}
         for name, host in hosts.items():
             role = getattr(host, "holder_role", None)
-            if role is not None and role.is_active:
+            is_running = name in self.network.running
+            if role is not None and role.is_active and is_running:
                 return name
         return None
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -15,12 +15,14 @@
 from chervilwheel import replica
 from chervilwheel import timers
 from chervilwheel.control import documents
+from chervilwheel.control import enginerunner
 from chervilwheel.control import founding
 from chervilwheel.control import holding
 from chervilwheel.control import nodesettings
 from chervilwheel.control import routing
 from chervilwheel.control import standby
 from chervilwheel.control import tokens
+from chervilwheel.workers import engine
 from chervilwheel.workers import leases
 from chervilwheel.workers import ports
 from chervilwheel.workers import starter
@@ -168,6 +170,11 @@
         cfg = self.load(self.VALID)
         self.assertEqual(81, cfg.listen["front"].port)
         self.assertFalse(cfg.is_founding)
+        self.assertEqual(0.0, cfg.evacuation_s)
+
+    def test_the_bound_of_evacuations_is_in_milliseconds(self):
+        cfg = self.load("evacuation_ms = 5000" + self.VALID)
+        self.assertEqual(5.0, cfg.evacuation_s)
 
     def test_invalid_settings_name_the_key(self):
         for old, new, key in (
@@ -344,6 +351,37 @@
         self.deliver(hold_back=("a",))
         self.assertTrue(candidate.is_quorum_reachable(self.now + 0.9))
 
+    def test_members_are_current_while_a_leader_contacts_them(self):
+        follower = self.replicas["b"]
+        self.now += 0.1
+        self.leader.tick(self.now)
+        self.deliver()
+        limit_s = replica.CURRENT_HEARTBEATS * TIMING.heartbeat_interval_s
+        for each in (self.leader, follower):
+            self.assertTrue(each.is_current(self.now + limit_s - 0.01))
+        self.assertFalse(follower.is_current(self.now + limit_s + 0.01))
+        expires_at = self.leader.lease_expires_at()
+        self.assertFalse(self.leader.is_current(expires_at))
+
+    def test_a_follower_without_all_committed_entries_is_not_current(self):
+        follower = self.replicas["c"]
+        self.leader.propose([b"x"], self.now)
+        self.deliver(hold_back=("c",))
+        self.now += 1.0
+        heartbeat = replica.AppendRequest(
+            group="g",
+            to=follower.me,
+            sender=self.leader.me,
+            term=self.leader.term,
+            prev_index=1,
+            prev_term=self.leader.term,
+            commit=self.leader.commit + 1,
+            entries=(),
+            stamp=self.now,
+        )
+        follower.receive(heartbeat, self.now)
+        self.assertFalse(follower.is_current(self.now))
+
     def test_a_leader_that_resigns_has_no_lease(self):
         self.leader.resign(self.now)
         self.assertEqual(0.0, self.leader.lease_expires_at())
@@ -372,6 +410,109 @@
         pass
 
 
+class ClosedZoneTest(testtools.TestCase):
+    """A start is checked again when it is sent to its executor."""
+
+    def setUp(self):
+        super().setUp()
+        self.clk = clock.ManualClock()
+        self.heap = timers.TimerHeap(clk=self.clk, on_error=self.fail)
+        self.port = StartRecordingPort()
+        self.may_start = True
+        job_engine = engine.Engine(
+            token=1,
+            reports_complete_at=0.0,
+            now=self.clk.now(),
+            lease_limits=leases.LeaseLimits(1.0, 0.05),
+        )
+        self.verdicts = []
+        self.patch(
+            job_engine,
+            "started",
+            lambda _order, verdict, *_: self.verdicts.append(verdict),
+        )
+        self.runner = enginerunner.EngineRunner(
+            heap=self.heap,
+            port=self.port,
+            job_engine=job_engine,
+            fence=tokens.Fence(1, tokens.LEADER_SIDE),
+            bump=0,
+            notify=self.fail,
+            may_send_orders=lambda: True,
+            may_start=lambda: self.may_start,
+        )
+        for zone in ("north", "south"):
+            job_engine.report(self.report(zone), self.clk.now())
+        job_engine.take_actions()
+
+    def report(self, zone):
+        return work.ExecutorReport(
+            id=work.ExecutorId(zone),
+            service=ids.ServiceId("s"),
+            address=addresses.Address("10.0.0.9", 80),
+            zone=ids.ZoneId(zone),
+            room=work.Room(),
+            labels=(),
+            is_draining=False,
+            is_gone=False,
+            remaining_ms=0,
+            clock_ms=1,
+            sequence=1,
+        )
+
+    def start(self, zone):
+        """Send a start that the engine has ordered."""
+        self.runner._start(
+            work.StartOrder(
+                executor=work.ExecutorId(zone),
+                address=addresses.Address("10.0.0.9", 80),
+                task=work.TaskId(ids.JobId("1"), 0, 0),
+                run=1,
+                spec="",
+                deadline_ms=1,
+                token=1,
+            )
+        )
+        self.clk.advance(enginerunner.TICK_S)
+        self.heap.run_due()
+
+    def test_a_start_in_a_closed_zone_is_not_sent(self):
+        self.runner.close_zones(frozenset({ids.ZoneId("north")}))
+        self.start("north")
+        self.assertEqual([], self.port.started)
+        self.assertEqual([work.StartVerdict.NOT_SENT], self.verdicts)
+        self.start("south")
+        self.assertEqual(["south"], self.port.started)
+
+    def test_a_start_without_permission_is_not_sent(self):
+        self.may_start = False
+        self.start("south")
+        self.assertEqual([], self.port.started)
+        self.assertEqual([work.StartVerdict.NOT_SENT], self.verdicts)
+
+    def test_executors_that_report_later_are_closed(self):
+        self.runner.close_zones(frozenset({ids.ZoneId("north")}))
+        late = self.report("north")._replace(id=work.ExecutorId("late"))
+        self.runner.engine.report(late, self.clk.now())
+        closed = {
+            name
+            for name, each in self.runner.engine.executors.items()
+            if each.is_closed
+        }
+        self.assertEqual({"north", "late"}, closed)
+
+
+class StartRecordingPort(RecordingPort):
+    """Record the executors of start orders."""
+
+    def __init__(self):
+        super().__init__()
+        self.started = []
+
+    def start(self, order, done):
+        self.started.append(order.executor)
+
+
 class HolderRoleTokenTest(testtools.TestCase):
     """A new holder's token exceeds every token that its host has seen."""
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -146,6 +146,26 @@
         self.tick_until(lambda: disconnects)
         self.exchanges[0].respond(http_server.Response(200))
 
+    def test_a_client_that_has_gone_is_noticed_after_one_turn(self):
+        # A host that was paused reads the request and the end of its
+        # connection together. Orders wait for one turn to know of both.
+        self.is_response_delayed = True
+        found = []
+
+        def handle(exchange):
+            self.assertFalse(exchange.has_responded)
+            self.app.heap.call_later(
+                0.0, lambda: found.append(exchange.has_responded)
+            )
+
+        self.handle = handle
+        self.server.handler = handle
+        sock = socket.create_connection(self.address)
+        sock.sendall(b"POST / HTTP/1.1\r\nHost: x\r\n\r\n")
+        sock.close()
+        self.tick_until(lambda: found)
+        self.assertEqual([True], found)
+
     def test_handler_exception_returns_500(self):
         self.handle = None
         self.server.handler = lambda exchange: 1 / 0
--- a/tests/test_scopes.py
+++ b/tests/test_scopes.py
@@ -11,7 +11,9 @@
 class StandbyZonesTest(testtools.TestCase):
     """Zones have a standby of their own where each pool is large."""
 
-    def shared(self, north, south, *, zone="north", other_service=0):
+    def shared(
+        self, north, south, *, zone="north", other_service=0, evacuated=()
+    ):
         reports = [
             test_hosts.report(f"{name}-{number}", zone=name)
             for name, count in (("north", north), ("south", south))
@@ -21,13 +23,51 @@
             each._replace(id=f"{each.id}-b", service="other")
             for each in reports[:other_service]
         ]
-        return scopes.standby_zones(zone, zones=ZONES, reports=reports)
+        return scopes.standby_zones(
+            zone, zones=ZONES, reports=reports, evacuated=evacuated
+        )
 
     def test_large_zones_stand_alone(self):
         least = scopes.MIN_POOL_EXECUTORS
         self.assertEqual({"north"}, self.shared(least, least))
         self.assertEqual({"south"}, self.shared(least, least, zone="south"))
 
+    def test_an_evacuated_zone_joins_the_first_open_one(self):
+        least = scopes.MIN_POOL_EXECUTORS
+        zones = ("west", "north", "south", "east")
+        reports = [
+            test_hosts.report(f"{name}-{number}", zone=name)
+            for name in zones
+            for number in range(least)
+        ]
+
+        def shared(zone, *evacuated):
+            return scopes.standby_zones(
+                zone, zones=zones, reports=reports, evacuated=evacuated
+            )
+
+        self.assertEqual({"east", "west"}, shared("west", "west"))
+        self.assertEqual({"east", "west"}, shared("east", "west"))
+        self.assertEqual({"north"}, shared("north", "west"))
+        self.assertEqual({"north", "east"}, shared("east", "east"))
+        self.assertEqual({"north", "east"}, shared("north", "east"))
+        self.assertEqual({"east"}, shared("east", *zones))
+
+    def test_an_evacuated_zone_may_lose_its_executors(self):
+        least = scopes.MIN_POOL_EXECUTORS
+        self.assertEqual(set(ZONES), self.shared(least, 0))
+        shared = self.shared(least, 0, evacuated=("south",))
+        self.assertEqual(set(ZONES), shared)
+        reports = [
+            test_hosts.report(f"{name}-{number}", zone=name)
+            for name in ("a", "b")
+            for number in range(least)
+        ]
+        shared = scopes.standby_zones(
+            "b", zones=("a", "b", "c"), reports=reports, evacuated=("c",)
+        )
+        self.assertEqual({"b"}, shared)
+
     def test_one_small_zone_joins_all(self):
         least = scopes.MIN_POOL_EXECUTORS
         self.assertEqual(set(ZONES), self.shared(least, least - 1))
