Operators evacuate and restore zones over HTTP and on the command line

Cause: operators had no way to see, evacuate or restore zones; the metrics port answered every path, also of an order, with 200 and the metrics. Change: control hosts serve /v1/zones on the metrics port, with a bearer token for orders (setting operator_token); commands `zone list`, `evacuate` (with `--wait`), `restore` and `audit`; the engine counts the runs of each zone, and leaves out zones whose runs are not all known; other paths of the metrics port answer 404; page for operators. Errors as problem details and the 405 are shared with the gateway. The tests fail when the check for a disconnected client, for a quorum, for late reports, for unanswered renewals or for a new holder's inventory is removed.

--- a/chervilwheel/_cli.py
+++ b/chervilwheel/_cli.py
@@ -43,12 +43,23 @@
     query: dict[str, typing.Any] | None = None
 
 
-def client() -> apiclient.ApiClient:
-    """Create a client for the instance that the environment names."""
+def server() -> str:
+    """Return the address of the instance that the environment names."""
+    return os.environ.get(SERVER_VARIABLE, DEFAULT_SERVER)
+
+
+def client(
+    *, address: str = "", timeout_s: float = TIMEOUT_S
+) -> apiclient.ApiClient:
+    """Create a client for an instance.
+
+    :param address: its address, empty for the one that the environment names
+    :param timeout_s: timeout of a socket operation, seconds
+    """
     return apiclient.ApiClient(
-        address=os.environ.get(SERVER_VARIABLE, DEFAULT_SERVER),
+        address=address or server(),
         token=os.environ.get(TOKEN_VARIABLE, ""),
-        timeout_s=TIMEOUT_S,
+        timeout_s=timeout_s,
     )
 
 
@@ -59,11 +70,16 @@
 
 
 def show_reply(
-    reply: apiclient.Reply, *, as_json: bool, rows_key: str | None = None
+    reply: apiclient.Reply,
+    *,
+    as_json: bool,
+    rows_key: str | None = None,
+    hint: str = "",
 ) -> None:
     """Print a response; exit with an error code unless it succeeded.
 
     :param rows_key: the key whose list is printed as a table
+    :param hint: printed with an error, instead of that of its exit code
     """
     output.show(reply.body, as_json=as_json, rows_key=rows_key)
     code = _exit_code(reply)
@@ -71,17 +87,19 @@
         detail = f"HTTP status {reply.status}"
         if isinstance(reply.body, dict):
             detail = str(reply.body.get("detail", detail))
-        output.print_error(detail, hint=HINTS.get(code, ""))
+        output.print_error(detail, hint=hint or HINTS.get(code, ""))
         raise cappa.Exit(code=code)
 
 
 def _exit_code(reply: apiclient.Reply) -> int:
     if reply.is_ok:
         return EXIT_OK
+    is_problem = isinstance(reply.body, dict)
+    kind = reply.body.get("title") if is_problem else None
+    if reply.status == 504 or kind == errors.NotDurable.kind:
+        return EXIT_UNKNOWN
     if reply.status in (429, 503):
         return EXIT_NOT_RUN
-    if reply.status == 504:
-        return EXIT_UNKNOWN
     if reply.status in (401, 403, 409, 410, 422):
         return EXIT_REFUSED
     return EXIT_FAILED
--- a/chervilwheel/apiclient.py
+++ b/chervilwheel/apiclient.py
@@ -29,11 +29,14 @@
     :param address: its HTTP address, host:port
     :param token: the bearer token
     :param timeout_s: timeout of a socket operation, in seconds
+    :raises errors.InvalidRequest: when the address has no port
     """
 
     def __init__(
         self, *, address: str, token: str, timeout_s: float = 60.0
     ) -> None:
+        if not address.rpartition(":")[2].isdecimal():
+            raise errors.InvalidRequest(f"{address!r}: not host:port")
         self._address = address
         self._token = token
         self._timeout_s = timeout_s
@@ -63,7 +66,7 @@
             headers["Content-Type"] = "application/json"
         host, _, port = self._address.rpartition(":")
         conn = http.client.HTTPConnection(
-            host, int(port or 0), timeout=self._timeout_s
+            host, int(port), timeout=self._timeout_s
         )
         try:
             conn.request(method, path, body=data, headers=headers)
--- a/chervilwheel/commands.py
+++ b/chervilwheel/commands.py
@@ -17,6 +17,7 @@
 from chervilwheel import logcommands
 from chervilwheel import output
 from chervilwheel import settingscommands as settings
+from chervilwheel import zonecommands as zones
 
 
 def _group(name: str, help_text: str, *actions: type) -> type:
@@ -67,6 +68,14 @@
     cluster.MemberList,
     cluster.MemberDrain,
 )
+Zone = _group(
+    "zone",
+    "Availability zones (control hosts).",
+    zones.ZoneList,
+    zones.ZoneEvacuate,
+    zones.ZoneRestore,
+    zones.ZoneAudit,
+)
 Keeper = _group("keeper", "Keepers.", cluster.KeeperStatus)
 Data = _group(
     "data",
@@ -82,8 +91,9 @@
 class Chervilwheel:
     """Use and operate a chervilwheel cluster.
 
-    CHERVILWHEEL_SERVER is the address of an instance (host:port) and
-    CHERVILWHEEL_TOKEN the bearer token.
+    CHERVILWHEEL_SERVER is the address of an instance (host:port), for zones
+    that of a control host's metrics port, and CHERVILWHEEL_TOKEN the bearer
+    token.
     """
 
     command: cappa.Subcommands[
@@ -95,6 +105,7 @@
         | Endpoint
         | Member
         | Keeper
+        | Zone
         | cluster.Metrics
         | cluster.Health
         | Data
--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -101,6 +101,26 @@
         """This host's replica."""
         return self._group.member
 
+    @property
+    def holder(self) -> ids.InstanceId:
+        """The holder as far as known here, empty if unknown."""
+        if self.holder_role.is_active:
+            return self._cfg.id
+        leader = self.member.leader
+        if leader is None or leader.name == self._cfg.id:
+            return ids.InstanceId("")
+        return leader.name
+
+    def runs_by_zone(self) -> dict[ids.ZoneId, int]:
+        """Count the runs in each zone of the settings.
+
+        :returns: without zones whose runs aren't known, empty when this host
+            isn't the holder
+        """
+        return self.holder_role.runs_by_zone(
+            ids.ZoneId(zone) for zone in self._cfg.zones
+        )
+
     def report(self, report: work.ExecutorReport) -> None:
         """Process an executor's report and forward it to control hosts."""
         self._store_report(report)
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -206,6 +206,18 @@
         waiting = self._runner.engine.waiting_by_queue()
         return tuple(messages.QueueCount(*item) for item in waiting.items())
 
+    def runs_by_zone(
+        self, zones: typing.Iterable[ids.ZoneId]
+    ) -> dict[ids.ZoneId, int]:
+        """Count the runs in each zone, as :meth:`engine.Engine.runs_by_zone`.
+
+        :param zones: the zones to count in
+        :returns: empty when not the holder
+        """
+        if self._runner is None:
+            return {}
+        return self._runner.engine.runs_by_zone(zones, self._heap.clock.now())
+
     def metric_values(self) -> dict[str, float]:
         """Return the engine's metrics, empty when not the holder."""
         if self._runner is None:
--- a/chervilwheel/control/nodesettings.py
+++ b/chervilwheel/control/nodesettings.py
@@ -1,6 +1,7 @@
 """Settings of a control host or an entry host, loaded from TOML."""
 
 import pathlib
+import re
 import tomllib
 import typing
 
@@ -10,6 +11,8 @@
 from chervilwheel.workers import leases
 
 _MISSING = object()
+# What can be sent in an Authorization header without being changed.
+_TOKEN = re.compile(r"[!-~]*")
 
 
 class NodeSettings(typing.NamedTuple):
@@ -26,7 +29,10 @@
     :ivar max_lease_s: maximum duration of a lease, seconds
     :ivar stop_s: maximum time for an executor to end a run, seconds
     :ivar heartbeat_s: interval of an executor's reports, seconds
-    :ivar metrics_port: port that serves metrics as text, 0 for none
+    :ivar metrics_port: port that serves metrics as text, and operators'
+        requests on control hosts, 0 for none
+    :ivar operator_token: bearer token of operators' orders, empty to accept
+        none
     """
 
     name: str
@@ -45,6 +51,7 @@
     stop_s: float
     heartbeat_s: float
     metrics_port: int
+    operator_token: str = ""
 
     @property
     def lease_limits(self) -> leases.LeaseLimits:
@@ -95,6 +102,7 @@
         stop_s=reader.number("stop_ms", 50.0) / 1000,
         heartbeat_s=reader.number("heartbeat_ms", 1500.0) / 1000,
         metrics_port=reader.get("metrics_port", int, 0),
+        operator_token=reader.token("operator_token"),
     )
 
 
@@ -118,6 +126,16 @@
             )
         return value
 
+    def token(self, key: str) -> str:
+        """Return a bearer token, empty if missing; errors don't show it."""
+        value = self._table.get(key, "")
+        if not isinstance(value, str) or not _TOKEN.fullmatch(value):
+            raise errors.InvalidSettings(
+                f"{self._path}: {key}: a string of ASCII characters without "
+                "spaces is required"
+            )
+        return value
+
     def number(self, key: str, default: float) -> float:
         value = self._table.get(key, default)
         is_number = isinstance(value, int | float)
--- a/chervilwheel/control/runtime.py
+++ b/chervilwheel/control/runtime.py
@@ -13,6 +13,7 @@
 
 from chervilwheel import addresses
 from chervilwheel import clock
+from chervilwheel import errors
 from chervilwheel import guard
 from chervilwheel import ids
 from chervilwheel import loopload
@@ -29,6 +30,7 @@
 PEER_SILENCE_S = 0.9
 SIGNAL_POLL_S = 0.1
 LOAD_INTERVAL_S = 5.0
+METRICS_PATH = "/metrics"
 METRICS_LIMITS = guard.Limits(header_bytes=8_192, body_bytes=1_024)
 # Most objects are short-lived, and full collections would only traverse
 # long-lived ones, so the thresholds make them rare.
@@ -39,6 +41,8 @@
     """The event loop with its streams, timers, links and signals.
 
     :param cfg: settings of this process
+    :ivar on_operator_request: handles the requests on the metrics port that
+        are not for the metrics
     """
 
     channel = "runtime"
@@ -70,6 +74,7 @@
         self._register_metrics()
         self.on_stop: typing.Callable[[], None] = self.stop
         self.on_reload: typing.Callable[[], None] = lambda: None
+        self.on_operator_request: server.Handler = _respond_not_found
         self._signals: list[int] = []
         self._last_sent: collections.Counter[str] = collections.Counter()
         self._last_received: collections.Counter[str] = collections.Counter()
@@ -140,22 +145,30 @@
         self._last_sent_bytes = sent_bytes
 
     def _serve_metrics(self) -> None:
-        def answer(exchange: server.Exchange) -> None:
-            body = self.metrics.render().encode()
-            exchange.respond(
-                server.Response(200, body, content_type="text/plain")
-            )
-
         front = server.HttpServer(
             loop=self.loop,
             heap=self.heap,
             limits=METRICS_LIMITS,
             timeouts=server.Timeouts(),
-            handler=answer,
+            handler=self._handle_request,
         )
         address = addresses.Address(self.cfg.host, self.cfg.metrics_port)
         front.listen(address)
 
+    def _handle_request(self, exchange: server.Exchange) -> None:
+        request = exchange.request
+        if request.target.partition("?")[0] != METRICS_PATH:
+            self.on_operator_request(exchange)
+        elif request.method != "GET":
+            exchange.respond(
+                server.error_response(errors.MethodNotAllowed("GET"))
+            )
+        else:
+            body = self.metrics.render().encode()
+            exchange.respond(
+                server.Response(200, body, content_type="text/plain")
+            )
+
     def _on_signal(self, number: int, _frame: typing.Any) -> None:
         self._signals.append(number)
 
@@ -186,6 +199,12 @@
         )
 
 
+def _respond_not_found(exchange: server.Exchange) -> None:
+    exchange.respond(
+        server.error_response(errors.NotFound("no such resource"))
+    )
+
+
 def cluster_key(cfg: nodesettings.NodeSettings) -> bytes:
     """Derive the key of links from the zones, a setting that hosts share."""
     text = "\x00".join(sorted(cfg.zones))
--- a/chervilwheel/errors.py
+++ b/chervilwheel/errors.py
@@ -70,6 +70,20 @@
     kind = "not-found"
 
 
+class MethodNotAllowed(ChervilwheelError):
+    """The resource does not support the method.
+
+    :param allowed: the method that it supports
+    """
+
+    status = 405
+    kind = "method-not-allowed"
+
+    def __init__(self, allowed: str) -> None:
+        super().__init__(f"only {allowed} is offered")
+        self.allowed = allowed
+
+
 class Expired(ChervilwheelError):
     """The submission id is older than the ledger's retention period."""
 
@@ -91,6 +105,13 @@
     kind = "quota"
 
 
+class NotDurable(ChervilwheelError):
+    """A change is not known to be durable; it may still take effect."""
+
+    status = 503
+    kind = "not-durable"
+
+
 class OutcomeUnknown(ChervilwheelError):
     """The request may or may not have taken effect."""
 
--- a/chervilwheel/gateway.py
+++ b/chervilwheel/gateway.py
@@ -11,10 +11,10 @@
 from chervilwheel import auth
 from chervilwheel import errors
 from chervilwheel import jobs
+from chervilwheel import problems
 
 _LOG = logging.getLogger("gateway")
 JSON = "application/json"
-PROBLEM_JSON = "application/problem+json"
 PROMETHEUS_TEXT = "text/plain; version=0.0.4"
 
 
@@ -102,18 +102,12 @@
 
     def reply_error(self, exc: errors.ChervilwheelError) -> None:
         """Send an error response with problem details (RFC 9457)."""
-        headers = {}
-        content = {
-            "type": f"urn:chervilwheel:{exc.kind}",
-            "title": exc.kind,
-            "status": exc.status,
-            "detail": exc.detail,
-        }
-        if exc.retry_after_s is not None:
-            headers["Retry-After"] = str(max(1, round(exc.retry_after_s)))
-            content["retry_after_ms"] = int(exc.retry_after_s * 1000)
+        problem = problems.describe(exc)
         self.reply(
-            exc.status, content, headers=headers, content_type=PROBLEM_JSON
+            exc.status,
+            problem.content,
+            headers=problem.headers,
+            content_type=problems.CONTENT_TYPE,
         )
 
 
--- a/chervilwheel/http/server.py
+++ b/chervilwheel/http/server.py
@@ -2,11 +2,14 @@
 
 import collections
 import http.client
+import json
 import logging
 import typing
 
 from chervilwheel import addresses
+from chervilwheel import errors
 from chervilwheel import guard
+from chervilwheel import problems
 from chervilwheel import streams
 from chervilwheel import timers
 
@@ -26,6 +29,17 @@
     content_type: str = "application/json"
 
 
+def error_response(exc: errors.ChervilwheelError) -> Response:
+    """Return an error response with problem details (RFC 9457)."""
+    problem = problems.describe(exc)
+    return Response(
+        exc.status,
+        json.dumps(problem.content).encode(),
+        headers=tuple(problem.headers.items()),
+        content_type=problems.CONTENT_TYPE,
+    )
+
+
 class Timeouts(typing.NamedTuple):
     """Maximum time to receive a request and to stay idle, seconds."""
 
@@ -47,6 +61,11 @@
         self.has_responded = False
         self._conn = conn
 
+    @property
+    def client_host(self) -> str:
+        """The client's IP address, empty if it has disconnected."""
+        return self._conn.client_host
+
     def respond(self, response: Response) -> None:
         """Send the response; any further call is ignored."""
         if self.has_responded:
@@ -139,6 +158,14 @@
         """Whether a request was partly received or has no response yet."""
         return bool(self._exchange or self._queued or self._parser.is_partial)
 
+    @property
+    def client_host(self) -> str:
+        """The client's IP address, empty if it has disconnected."""
+        try:
+            return self._stream.sock.getpeername()[0]
+        except OSError:
+            return ""
+
     def close(self) -> None:
         self._server.remove(self)
         self._stream.close()
--- a/chervilwheel/output.py
+++ b/chervilwheel/output.py
@@ -7,6 +7,9 @@
 from rich import console
 from rich import table
 
+# Stands for null in tables.
+NULL = "-"
+
 
 def show(
     body: typing.Any, *, as_json: bool, rows_key: str | None = None
@@ -41,10 +44,14 @@
     for name in columns:
         result.add_column(name, overflow="fold")
     for row in rows:
-        result.add_row(*[str(row.get(name, "")) for name in columns])
+        result.add_row(*[_cell(row.get(name, "")) for name in columns])
     return result
 
 
+def _cell(value: typing.Any) -> str:
+    return NULL if value is None else str(value)
+
+
 def _fields_table(body: dict[str, typing.Any]) -> table.Table:
     result = table.Table(show_header=False)
     for name, value in body.items():
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -582,6 +582,30 @@
         """Return the number of jobs that have not started, by queue."""
         return self._job_table.waiting_by_queue()
 
+    def runs_by_zone(
+        self, zones: typing.Iterable[ids.ZoneId], now: float
+    ) -> dict[ids.ZoneId, int]:
+        """Count the runs that have not ended, by zone.
+
+        A zone is left out while it may have runs that aren't known here: one
+        of its executors doesn't answer or report, or an earlier holder may
+        have used executors that haven't reported yet.
+
+        :param zones: the zones to count in
+        """
+        if now < self._reports_complete_at:
+            return {}
+        counts = dict.fromkeys(zones, 0)
+        for executor in self.executors.values():
+            zone = executor.report.zone
+            if zone not in counts:
+                continue
+            if leases.is_in_contact(executor, now):
+                counts[zone] += len(executor.runs)
+            else:
+                del counts[zone]
+        return counts
+
 
 def _is_final(answer: work.Answer) -> bool:
     """Return whether a repeated submission gets the same answer again."""
--- a/chervilwheel/workers/leases.py
+++ b/chervilwheel/workers/leases.py
@@ -300,3 +300,16 @@
                 executor.unreachable_since = 0.0
                 executor.unusable_until = now
             self.poll(executor, now)
+
+
+def is_in_contact(executor: executors.Executor, now: float) -> bool:
+    """Whether all runs of an executor are known, and it answers and reports.
+
+    An executor without runs isn't asked for anything, so that only its
+    reports show that it can be reached.
+    """
+    return (
+        executor.is_synced
+        and not executor.unreachable_since
+        and now - executor.last_report_at < REPORT_TIMEOUT_S
+    )
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -8,6 +8,7 @@
 from chervilwheel import api
 from chervilwheel import operatorapi
 from chervilwheel import settingsapi
+from chervilwheel.control import operatorport
 
 OPENAPI = pathlib.Path(__file__).parent.parent / "docs" / "openapi.json"
 API_CLASSES = (
@@ -15,6 +16,7 @@
     api.EndpointApi,
     operatorapi.OperatorApi,
     settingsapi.SettingsApi,
+    operatorport.OperatorPort,
 )
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -169,6 +169,21 @@
         self.assertEqual(81, cfg.listen["front"].port)
         self.assertFalse(cfg.is_founding)
 
+    def test_the_operator_token_is_empty_by_default(self):
+        self.assertEqual("", self.load(self.VALID).operator_token)
+        text = 'operator_token = "secret+/="\n' + self.VALID
+        self.assertEqual("secret+/=", self.load(text).operator_token)
+
+    def test_errors_do_not_show_an_invalid_operator_token(self):
+        for value in ('"12345 67"', "1234567", '"12345\u00e4"'):
+            exc = self.assertRaises(
+                errors.InvalidSettings,
+                self.load,
+                f"operator_token = {value}\n" + self.VALID,
+            )
+            self.assertIn("operator_token", exc.detail)
+            self.assertNotIn("12345", exc.detail)
+
     def test_invalid_settings_name_the_key(self):
         for old, new, key in (
             ("7720", '"x"', "peer_port"),
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -5,6 +5,7 @@
 import pytest
 import testtools
 
+from chervilwheel import ids
 from chervilwheel.workers import engine
 from chervilwheel.workers import executors
 from chervilwheel.workers import jobstate
@@ -209,6 +210,89 @@
         play_short_partition(seed)
 
 
+class ZoneRunsTest(testtools.TestCase):
+    """Runs of a zone are counted only while all of them are known."""
+
+    ZONE = ids.ZoneId("zone")
+    EMPTY_ZONE = ids.ZoneId("empty")
+
+    def setUp(self):
+        super().setUp()
+        self.world = workerworld.World(workers=3)
+
+    def count(self):
+        """Return the runs of the workers' zone, None if unknown."""
+        counts = self.world.engine.runs_by_zone(
+            (self.ZONE, self.EMPTY_ZONE), self.world.now
+        )
+        return counts.get(self.ZONE)
+
+    def test_runs_are_counted_until_they_end(self):
+        self.world.run(4.0)
+        self.assertEqual(0, self.count())
+        self.world.submit(tasks=4, work_s=0.5)
+        self.assertEqual(4, self.count())
+        self.world.run(0.2)
+        self.assertEqual(4, self.count())
+        self.world.run(0.8)
+        self.assertEqual(0, self.count())
+
+    def test_only_the_given_zones_are_counted(self):
+        self.world.run(4.0)
+        counts = self.world.engine.runs_by_zone(
+            (self.EMPTY_ZONE,), self.world.now
+        )
+        self.assertEqual({self.EMPTY_ZONE: 0}, counts)
+
+    def test_a_new_holder_does_not_know_runs_before_all_have_reported(self):
+        self.world.run(4.0)
+        self.world.submit(tasks=4, work_s=3.0)
+        self.world.run(0.2)
+        self.world.switch_holder()
+        self.world.run(1.0)
+        self.assertIsNone(self.count())
+
+    def test_a_new_holder_counts_runs_of_the_former_one(self):
+        self.world.run(4.0)
+        self.world.submit(tasks=4, work_s=2.0)
+        self.world.run(0.2)
+        self.world.switch_holder(knows_all=True)
+        self.assertIsNone(self.count())
+        self.world.run(0.5)
+        self.assertEqual(4, self.count())
+
+    def test_runs_are_unknown_while_a_busy_worker_does_not_answer(self):
+        # A standby of a zone that is cut off may start tasks there.
+        self.world.run(4.0)
+        self.world.submit(tasks=6, work_s=2.0)
+        self.world.run(0.2)
+        self.world.net.cut.add(next(iter(self.world.workers)))
+        self.world.run(2.5)
+        self.assertIsNone(self.count())
+        self.world.net.cut.clear()
+        self.world.run(4.0)
+        self.assertEqual(0, self.count())
+
+    def test_runs_are_unknown_when_an_idle_worker_stops_reporting(self):
+        # An idle worker isn't asked for anything.
+        self.world.run(4.0)
+        self.world.net.cut.update(self.world.workers)
+        self.world.run(7.0)
+        self.assertIsNone(self.count())
+        self.world.net.cut.clear()
+        self.world.run(2.0)
+        self.assertEqual(0, self.count())
+
+    def test_a_worker_that_never_returns_is_given_up(self):
+        self.world.run(4.0)
+        name = next(iter(self.world.workers))
+        self.world.workers[name].crash()
+        self.world.run(7.0)
+        self.assertIsNone(self.count())
+        self.world.run(engine.EXECUTOR_RETENTION_S)
+        self.assertEqual(0, self.count())
+
+
 class MutantTest(testtools.TestCase):
     """Random schedules detect engines that would break the invariants."""
 
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -187,6 +187,28 @@
         self.assertLessEqual(many, few * MAX_GROWTH)
 
 
+class ZoneRunsTest(HostsTest):
+    """Control hosts name the holder, which counts the runs of each zone."""
+
+    def test_the_holder_counts_runs_and_the_others_name_it(self):
+        world = self.world(entries=2, make_port=AnsweringPort)
+        self.report_executors(world, by_zone=2)
+        holder = world.holder()
+        self.assertEqual(
+            {holder}, {control.holder for control in world.controls.values()}
+        )
+        entry = next(iter(world.entries.values()))
+        entry.jobs.submit(job(), lambda _answer: None)
+        world.run(0.1)
+        for name, control in world.controls.items():
+            counts = control.runs_by_zone()
+            if name == holder:
+                self.assertEqual(set(hostworld.ZONES), set(counts))
+                self.assertEqual(1, sum(counts.values()))
+            else:
+                self.assertEqual({}, counts)
+
+
 class StartTest(HostsTest):
     """Requests wait a moment for the document of a host that has started."""
 
