Engine: closed zones, refusal by priority while one is closed, warm-up

Cause: an operator can't evacuate a zone, cold executors are filled at once, and with less capacity jobs are refused only after they have waited. Change: Engine.close_zones; workers/capacity.py forecasts when the open executors can start which jobs, workers/refusal.py (moved out of engine.py) refuses the excess on arrival; workers/warmup.py limits cold executors.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -466,5 +466,13 @@
 
 
 def _stable_fields(report: work.ExecutorReport) -> work.ExecutorReport:
-    """Reset the fields that change with every report."""
-    return report._replace(clock_ms=0, sequence=0, remaining_ms=0)
+    """Reset the fields that change with every report.
+
+    Of the cold time, only whether there is any counts as a change.
+    """
+    return report._replace(
+        clock_ms=0,
+        sequence=0,
+        remaining_ms=0,
+        cold_ms=int(report.cold_ms > 0),
+    )
--- a/chervilwheel/control/documents.py
+++ b/chervilwheel/control/documents.py
@@ -36,12 +36,20 @@
 
 
 class Service(typing.NamedTuple):
-    """A pool of executors that serve the same queues."""
+    """A pool of executors that serve the same queues.
+
+    :ivar cold_start_s: how long executors are slow after a start, 0 if
+        unknown
+    :ivar cold_per_s: starts per second that a cold executor accepts, 0 for
+        no limit
+    """
 
     name: ids.ServiceId
     connections: int
     enforces_capacity: bool
     is_standby: bool
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Bounds(typing.NamedTuple):
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -217,6 +217,9 @@
             "waiting": sum(job_engine.waiting_by_queue().values()),
             "starts_total": job_engine.starts,
             "refusals_total": job_engine.refusals,
+            "refusals_closed_zone_total": job_engine.closed_zone_refusals,
+            "closed_executors": job_engine.count_closed(),
+            "cold_executors": job_engine.count_cold(self._heap.clock.now()),
             **{
                 f"start_verdict_{name}": count
                 for name, count in job_engine.verdicts.items()
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -312,6 +312,8 @@
   remainingMs @8 :UInt64;
   clockMs @9 :UInt64;
   sequence @10 :UInt64;
+  bornMs @11 :UInt64;
+  coldMs @12 :UInt64;
 }
 
 struct JobOffer { job @0 :Job; }
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -17,12 +17,12 @@
 from chervilwheel.workers import jobtable
 from chervilwheel.workers import leases
 from chervilwheel.workers import losses
-from chervilwheel.workers import placement
 from chervilwheel.workers import reconciler
+from chervilwheel.workers import refusal
 from chervilwheel.workers import risk
 from chervilwheel.workers import starter
 from chervilwheel.workers import takeover
-from chervilwheel.workers import waitlimit
+from chervilwheel.workers import warmup
 from chervilwheel.workers import work
 
 _LOG = logging.getLogger("engine")
@@ -34,17 +34,10 @@
 # shrunk is known to have only with its next report.
 NO_ROOM_PAUSE_S = 0.05
 MAX_NO_ROOM_PAUSE_S = 0.8
-# The longest tasks that are running now have ended by then.
-NO_ROOM_RETRY_MS = 1_000
-# Larger executors can only appear when the deployment changes.
-NEVER_FITS_RETRY_MS = 60_000
 UNHEALTHY_PAUSE_S = 0.5
 # An executor that has listed its runs within this time is reachable, though
 # the answer to a start was lost.
 RECENT_ANSWER_S = 0.5
-# Executors are given this long to list their runs to a new holder, before
-# jobs are refused for want of room.
-FIRST_LISTS_S = 0.3
 # When ticks are further apart than this, answers may have arrived unread.
 MAX_TICK_INTERVAL_S = 0.05
 
@@ -80,14 +73,9 @@
         lease_limits: leases.LeaseLimits,
     ) -> None:
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
-        self.refusals = 0
-        self._began_at = now
         self._ticked_at = now
-        # Distinct sizes of executors by service, None after a change.
-        self._rooms: dict[ids.ServiceId, set[work.Room]] | None = None
         self.verdicts: collections.Counter[str] = collections.Counter()
         self._limits = lease_limits
-        self._reports_complete_at = reports_complete_at
         self._actions: list[work.Action] = []
         self._job_table = jobtable.JobTable(actions=self._actions)
         self._free_index = freeindex.FreeIndex()
@@ -113,6 +101,16 @@
             lease_manager=self._leases,
             finish=self._finish,
         )
+        self._refuser = refusal.Refuser(
+            executors_by_id=self.executors,
+            job_table=self._job_table,
+            job_starter=self._starter,
+            finish=self._finish,
+            reports_complete_at=reports_complete_at,
+            now=now,
+        )
+        self._closed_zones: frozenset[ids.ZoneId] = frozenset()
+        self._cold_rates: typing.Mapping[ids.ServiceId, warmup.ColdRate] = {}
         self._takeovers = takeover.Takeovers(
             limits=lease_limits,
             reports_complete_at=reports_complete_at,
@@ -124,6 +122,16 @@
         """Number of start orders issued so far."""
         return self._starter.starts
 
+    @property
+    def refusals(self) -> int:
+        """Number of jobs refused for want of room."""
+        return self._refuser.refusals
+
+    @property
+    def closed_zone_refusals(self) -> int:
+        """Number of jobs refused because zones are closed."""
+        return self._refuser.closed_zone_refusals
+
     @property
     def token(self) -> int:
         """The current fencing token."""
@@ -156,10 +164,12 @@
                 last_report_at=now - age_s,
                 stop_s=self._limits.stop_s,
                 on_free_changed=self._free_index.update,
+                is_closed=report.zone in self._closed_zones,
+                cold_rate=self._cold_rate(report.service),
             )
             self.executors[report.id] = executor
             self._free_index.update(executor)
-            self._rooms = None
+            self._refuser.executors_changed()
             self._reconciler.add_executor(executor)
         elif report.is_gone:
             self._remove_executor(executor, now, why=Departure.DEREGISTERED)
@@ -168,13 +178,42 @@
             return
         if report.is_draining and not executor.report.is_draining:
             executor.draining_since = now
+        executor.is_closed = report.zone in self._closed_zones
         if report.room != executor.report.room:
-            self._rooms = None
+            self._refuser.executors_changed()
         executor.update_report(report)
+        executor.update_cold(now - age_s)
         executor.last_report_at = max(executor.last_report_at, now - age_s)
         executor.update_clock(report.clock_ms, now)
         self._maintain(executor, now)
 
+    def close_zones(
+        self, zones: typing.Collection[ids.ZoneId], now: float
+    ) -> None:
+        """Start nothing in some zones, until a call without them.
+
+        Runs there end by themselves.
+        """
+        self._closed_zones = frozenset(zones)
+        for executor in self.executors.values():
+            is_closed = executor.report.zone in self._closed_zones
+            if executor.is_closed and not is_closed:
+                executor.cold = warmup.reopened(now)
+            executor.is_closed = is_closed
+        self._refuser.zones_changed(now, has_closed=bool(zones))
+        self._starter.place(now)
+
+    def set_cold_rates(
+        self, rates: typing.Mapping[ids.ServiceId, warmup.ColdRate]
+    ) -> None:
+        """Set what is configured for the cold executors of services."""
+        self._cold_rates = dict(rates)
+        for executor in self.executors.values():
+            executor.cold_rate = self._cold_rate(executor.report.service)
+
+    def _cold_rate(self, service: ids.ServiceId) -> warmup.ColdRate:
+        return self._cold_rates.get(service, warmup.ColdRate())
+
     def record_entry_heartbeat(
         self, entry: ids.InstanceId, now: float
     ) -> None:
@@ -213,14 +252,7 @@
             job = job._replace(losses=(*job.losses, *existing.losses))
         state = self._job_table.add(job, entry, now)
         self._losses.offered(state, now)
-        if self._never_fits(job, now):
-            self._finish(
-                state,
-                work.Outcome.REFUSED,
-                now,
-                reason="never_fits",
-                retry_after_ms=NEVER_FITS_RETRY_MS,
-            )
+        if self._refuser.refuse_hopeless(state, now):
             return
         self._job_table.waiting.add(state)
         if state.is_taking_over:
@@ -230,20 +262,7 @@
             self._reconciler.adopt(state, now)
         else:
             self._starter.place_new(state, now)
-
-    def _never_fits(self, job: work.Job, now: float) -> bool:
-        """Return whether some task is too large for every executor."""
-        if job.offers or now < self._reports_complete_at:
-            return False
-        if self._rooms is None:
-            self._rooms = {}
-            for executor in self.executors.values():
-                rooms = self._rooms.setdefault(executor.report.service, set())
-                rooms.add(executor.largest_room)
-        rooms = self._rooms.get(job.service, ())
-        return bool(rooms) and not all(
-            any(room.holds(step.room) for room in rooms) for step in job.steps
-        )
+            self._refuser.admit(state, now)
 
     def cancel(
         self,
@@ -425,7 +444,7 @@
         executor.on_free_changed = self._free_index.remove
         self._free_index.remove(executor)
         self.executors.pop(executor.id, None)
-        self._rooms = None
+        self._refuser.executors_changed()
         self._reconciler.remove_executor(executor)
         _LOG.info(
             "engine: an executor is gone",
@@ -483,7 +502,7 @@
         self._give_up_taken_over(now)
         # Late jobs get room that is free rather than a refusal.
         self._starter.place(now)
-        self._refuse_overdue(now)
+        self._refuser.refuse_overdue(now)
         for state in self._losses.overdue(now):
             self._finish(state, work.Outcome.LOST, now, reason=CRASHES)
         self._job_table.purge(now)
@@ -541,42 +560,13 @@
             if state.is_worthless(now):
                 self._finish(state, work.Outcome.LOST, now, reason="too_late")
 
-    def _refuse_overdue(self, now: float) -> None:
-        unstarted = self._job_table.unstarted()
-        waiting_tasks = sum(len(state.pending) for state in unstarted)
-        may_start = [e for e in self.executors.values() if e.may_start(now)]
-        usable = len(may_start)
-        is_room_unknown = (
-            now - self._began_at < FIRST_LISTS_S
-            and usable < len(self.executors) / 2
-        )
-        for state in unstarted:
-            limit_s = waitlimit.wait_limit_s(
-                state, waiting_tasks=waiting_tasks, executors=usable
-            )
-            if is_room_unknown and not state.is_worthless(now):
-                continue
-            if now - state.arrived_at >= limit_s:
-                self.refusals += 1
-                _LOG.info(
-                    "engine: a job is refused",
-                    extra={
-                        "job": state.job.id,
-                        "waited_s": round(now - state.arrived_at, 3),
-                        "limit_s": round(limit_s, 3),
-                        "waiting_tasks": waiting_tasks,
-                        "fit": placement.count_places(may_start, state.job),
-                        "usable": usable,
-                        "executors": len(self.executors),
-                    },
-                )
-                self._finish(
-                    state,
-                    work.Outcome.REFUSED,
-                    now,
-                    reason="no_room",
-                    retry_after_ms=NO_ROOM_RETRY_MS,
-                )
+    def count_closed(self) -> int:
+        """Return the number of executors in closed zones."""
+        return sum(each.is_closed for each in self.executors.values())
+
+    def count_cold(self, now: float) -> int:
+        """Return the number of executors that are cold."""
+        return sum(each.cold.is_cold(now) for each in self.executors.values())
 
     def waiting_by_queue(self) -> dict[str, int]:
         """Return the number of jobs that have not started, by queue."""
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -4,6 +4,7 @@
 import enum
 import typing
 
+from chervilwheel.workers import warmup
 from chervilwheel.workers import work
 
 # Maximum rate by which an executor's clock may run slower than the local one,
@@ -84,6 +85,10 @@
         or accepted start
     :ivar lost_together: number of its runs when it became unreachable
     :ivar is_reserved: whether it is kept free for a task that runs alone
+    :ivar is_closed: whether its zone is closed
+    :ivar cold: when it is slow after its start
+    :ivar cold_rate: what is configured for that time
+    :ivar next_cold_start_at: when it may get its next run while it is cold
     :ivar on_free_changed: called after each change of the free resources
     """
 
@@ -118,6 +123,10 @@
     draining_since: float = 0.0
     is_gone: bool = False
     is_fenced: bool = False
+    is_closed: bool = False
+    cold: warmup.ColdPeriod = warmup.ColdPeriod()
+    cold_rate: warmup.ColdRate = warmup.ColdRate()
+    next_cold_start_at: float = 0.0
     on_free_changed: typing.Callable[["Executor"], None] = lambda _: None
 
     @property
@@ -144,6 +153,23 @@
         if has_changed:
             self._update_free()
 
+    def update_cold(self, at: float) -> None:
+        """Process the cold time of its latest report.
+
+        :param at: when the report arrived at a host, seconds
+        """
+        self.cold = warmup.reported(
+            self.cold,
+            cold_s=self.report.cold_ms / 1000,
+            rate=self.cold_rate,
+            at=at,
+        )
+
+    def record_cold_start(self, now: float) -> None:
+        """Delay the next start while it is cold and has a limit for them."""
+        if self.cold.is_cold(now) and self.cold_rate.per_s:
+            self.next_cold_start_at = now + 1 / self.cold_rate.per_s
+
     def update_clock(self, clock_ms: int, at: float) -> None:
         """Store a reading of its clock unless it is below the lower bound.
 
@@ -209,7 +235,18 @@
             and not self.report.is_draining
             and not self.is_reserved
             and not self.runs_alone
+            and not self.is_closed
             and now >= self.unusable_until
+            and (not self.cold.is_cold(now) or self._may_start_cold(now))
+        )
+
+    def _may_start_cold(self, now: float) -> bool:
+        return now >= self.next_cold_start_at and warmup.may_start(
+            self.cold,
+            runs=len(self.runs),
+            used_cpu=self.used.cpu,
+            cpu=self.report.room.cpu,
+            now=now,
         )
 
 
--- a/chervilwheel/workers/starter.py
+++ b/chervilwheel/workers/starter.py
@@ -96,6 +96,21 @@
             if not attempt.has_room:
                 return
 
+    def can_start(self, state: jobstate.JobState, now: float) -> bool:
+        """Return whether an executor is free for a task of a waiting job."""
+        steps = {task.id.step: task for task in state.pending}
+        return any(
+            placement.choose(
+                self._free_index.candidates(
+                    state.job.service, state.job.steps[number].room.cpu, now
+                ),
+                task.id,
+                state.job.steps[number],
+            )
+            is not None
+            for number, task in steps.items()
+        )
+
     def place_new(self, state: jobstate.JobState, now: float) -> None:
         """Issue start orders for a job that has just begun to wait.
 
@@ -215,7 +230,9 @@
         reachable = [
             executor
             for executor in self._executors.values()
-            if executor.report.service == service and executor.is_synced
+            if executor.report.service == service
+            and executor.is_synced
+            and not executor.is_closed
         ]
         used = sum(executor.used.cpu for executor in reachable)
         return 2 * used < sum(each.report.room.cpu for each in reachable)
@@ -320,6 +337,7 @@
             is_alone=is_alone,
         )
         executor.add_run(run)
+        executor.record_cold_start(now)
         if is_risky:
             self._exposed.add(executor, now)
         self._risk.record_start(
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -165,6 +165,8 @@
     :ivar clock_ms: its monotonic clock when it sent the report
     :ivar sequence: increases with each report of one incarnation
     :ivar remaining_ms: minimum time left until it stops, while it drains
+    :ivar born_ms: start of this incarnation, Unix milliseconds, 0 if unknown
+    :ivar cold_ms: time left in which it is slow after its start
     """
 
     id: ExecutorId
@@ -178,6 +180,8 @@
     remaining_ms: int
     clock_ms: int
     sequence: int
+    born_ms: int = 0
+    cold_ms: int = 0
 
 
 class EndKind(enum.Enum):
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -132,6 +132,10 @@
         self.entry_of = {}
         self.run_times = {}
         self.racks = {}
+        self.zones = {}
+        self.closed_zones = frozenset()
+        # Times at which workers stop being cold.
+        self.cold_until = {}
         self.submitted_at = {}
         self.workers = {}
         self.addresses = {}
@@ -166,6 +170,8 @@
         self.addresses[name] = options.pop(
             "address", addresses.Address("10.0.0.1", 8000 + len(self.workers))
         )
+        self.zones[name] = ids.ZoneId(options.pop("zone", "zone"))
+        self.cold_until[name] = self.now + options.pop("cold_s", 0.0)
         options.setdefault("cpu", self._cpu)
         options.setdefault("clock_rate", self.rng.uniform(0.98, 1.0))
         options.setdefault("stop_s", self.rng.uniform(0.0, STOP_S))
@@ -195,6 +201,7 @@
             cpu=self.workers[name].cpu,
             speed=self.workers[name].speed,
             rack=self.racks[name],
+            zone=self.zones[name],
             address=self.addresses[name],
         )
 
@@ -228,6 +235,8 @@
             reports_complete_at=self.now + (0.0 if knows_all else 3.0),
             lease_limits=leases.LeaseLimits(self.max_lease_s, STOP_S),
         )
+        if self.closed_zones:
+            self.engine.close_zones(self.closed_zones, self.now)
         self._send_all_reports(self.engine)
         for job_id in self.jobs:
             if job_id not in self.answers:
@@ -439,7 +448,7 @@
             id=name,
             service=SERVICE,
             address=self.addresses[name],
-            zone=ids.ZoneId("zone"),
+            zone=self.zones[name],
             room=work.Room(model.cpu, 65_536),
             labels=("a", self.racks[name]),
             is_draining=model.is_draining,
@@ -447,10 +456,17 @@
             remaining_ms=0,
             clock_ms=model.clock_ms(self.now),
             sequence=next(self._report_sequences),
+            cold_ms=max(0, int((self.cold_until[name] - self.now) * 1000)),
         )
         holder.report(report, self.now)
         self._execute_actions(holder)
 
+    def close_zones(self, *zones):
+        """Tell the holder which zones are closed."""
+        self.closed_zones = frozenset(zones)
+        self.engine.close_zones(self.closed_zones, self.now)
+        self._execute_actions(self.engine)
+
     def send_reports(self):
         """Report all workers to the holder at once."""
         for name, model in self.workers.items():
