--- a/chervilwheel/control/documents.py
+++ b/chervilwheel/control/documents.py
@@ -22,6 +22,10 @@
     :ivar stretch: the latency objective as a multiple of the longest work
     :ivar target_ms: time that the objective allows beyond the stretched
         work, milliseconds
+    :ivar cold_start_s: how long the service's executors are slow after a
+        start, 0 if unknown
+    :ivar cold_per_s: starts per second that a cold one accepts, 0 for no
+        limit
     """
 
     name: str
@@ -33,15 +37,14 @@
     stretch: float
     target_ms: int
     timeout_ms: int
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Service(typing.NamedTuple):
     """A pool of executors that serve the same queues.
 
-    :ivar cold_start_s: how long executors are slow after a start, 0 if
-        unknown
-    :ivar cold_per_s: starts per second that a cold executor accepts, 0 for
-        no limit
+    The times of cold executors are as in :class:`Queue`.
     """
 
     name: ids.ServiceId
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -298,6 +298,8 @@
   waitedMs @12 :UInt32;
   submission @13 :UInt64;
   losses @14 :List(TaskLoss);
+  coldStartS @15 :Float64;
+  coldPerS @16 :Float64;
 }
 
 struct ExecutorReport {
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -110,7 +110,7 @@
             now=now,
         )
         self._closed_zones: frozenset[ids.ZoneId] = frozenset()
-        self._cold_rates: typing.Mapping[ids.ServiceId, warmup.ColdRate] = {}
+        self._cold_rates: dict[ids.ServiceId, warmup.ColdRate] = {}
         self._takeovers = takeover.Takeovers(
             limits=lease_limits,
             reports_complete_at=reports_complete_at,
@@ -203,13 +203,15 @@
         self._refuser.zones_changed(now, has_closed=bool(zones))
         self._starter.place(now)
 
-    def set_cold_rates(
-        self, rates: typing.Mapping[ids.ServiceId, warmup.ColdRate]
-    ) -> None:
-        """Set what is configured for the cold executors of services."""
-        self._cold_rates = dict(rates)
+    def _learn_cold_rate(self, job: work.Job) -> None:
+        """Store what is configured for cold executors of a job's service."""
+        rate = warmup.ColdRate(job.cold_start_s, job.cold_per_s)
+        if rate == self._cold_rate(job.service):
+            return
+        self._cold_rates[job.service] = rate
         for executor in self.executors.values():
-            executor.cold_rate = self._cold_rate(executor.report.service)
+            if executor.report.service == job.service:
+                executor.cold_rate = rate
 
     def _cold_rate(self, service: ids.ServiceId) -> warmup.ColdRate:
         return self._cold_rates.get(service, warmup.ColdRate())
@@ -250,6 +252,7 @@
             if existing.is_started:
                 job = job._replace(offers=job.offers + existing.job.offers + 1)
             job = job._replace(losses=(*job.losses, *existing.losses))
+        self._learn_cold_rate(job)
         state = self._job_table.add(job, entry, now)
         self._losses.offered(state, now)
         if self._refuser.refuse_hopeless(state, now):
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -112,6 +112,10 @@
     :ivar submission: the entry host's number of this submission; a caller
         may submit a refused job again under the same id
     :ivar losses: executors that earlier holders lost under its tasks
+    :ivar cold_start_s: how long the service's executors are slow after a
+        start, 0 if unknown
+    :ivar cold_per_s: starts per second that a cold one accepts, 0 for no
+        limit
     """
 
     id: ids.JobId
@@ -129,6 +133,8 @@
     waited_ms: int = 0
     submission: int = 0
     losses: tuple[TaskLoss, ...] = ()
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
     @property
     def critical_path_s(self) -> float:
--- a/tests/test_closedzones.py
+++ b/tests/test_closedzones.py
@@ -24,8 +24,8 @@
 BASE_LOAD = 0.9
 LOAD = 0.7
 LOAD_S = 6.0
-# The answers to arrivals up to now depend on what ran when the zone closed.
-SETTLE_S = 0.5
+# The load begins this long before the zone is closed.
+BEFORE_S = 1.0
 SEEDS = (11, 12)
 # Bounds: jobs of priority 0 that are accepted are in time, refused ones hear
 # within this share of their objective, and the open executors earn nearly
@@ -90,7 +90,7 @@
 
 
 def submit_load(world, rng, *, load, seconds):
-    """Submit jobs at random times; returns those after the settling time.
+    """Submit jobs at random times; returns them.
 
     :param load: as a multiple of the capacity of all workers
     """
@@ -112,16 +112,19 @@
             estimated_s=kind.work_s * rng.lognormvariate(0.0, 0.4),
             priority=kind.priority,
         )
-        if at >= SETTLE_S:
-            samples.append(Sample(job, kind, work_s))
+        samples.append(Sample(job, kind, work_s))
     return samples
 
 
 class Load(typing.NamedTuple):
-    """A world after a load, and the jobs of the load."""
+    """A world after a load, and the jobs of the load.
+
+    ``starts`` is the number of starts in closed zones.
+    """
 
     world: workerworld.World
     samples: list[Sample]
+    starts: int
 
     @property
     def earned_share(self):
@@ -142,14 +145,23 @@
 
 
 def run_load(seed, *, workers, load, closed=()):
-    """Run a load, with some zones closed from its begin on."""
+    """Run a load, in which some zones are closed; returns what follows.
+
+    :returns: the load after the zones were closed, and the number of starts
+        there
+    """
     world = make_world(seed, workers=workers, engine_class=CheckedEngine)
+    rng = random.Random(seed)
+    submit_load(world, rng, load=load, seconds=BEFORE_S)
     if closed:
         world.close_zones(*closed)
-    rng = random.Random(seed)
-    samples = submit_load(world, rng, load=load, seconds=SETTLE_S + LOAD_S)
+    # Orders that were on their way arrive.
+    world.run(0.01)
+    starts = sum(starts_in(world, zone) for zone in closed)
+    samples = submit_load(world, rng, load=load, seconds=LOAD_S)
     world.run(4.0)
-    return Load(world, samples)
+    starts = sum(starts_in(world, zone) for zone in closed) - starts
+    return Load(world, samples, starts)
 
 
 @pytest.fixture(scope="module")
@@ -162,8 +174,9 @@
 
 def test_accepted_jobs_of_the_highest_priority_are_in_time(closed_loads):
     """Guards against accepting more than the open executors can serve."""
-    for world, samples in closed_loads:
-        accepted = Load(world, samples).jobs(work.Outcome.COMPLETED, 0)
+    for load in closed_loads:
+        world = load.world
+        accepted = load.jobs(work.Outcome.COMPLETED, 0)
         in_time = sum(
             world.latency(job) <= world.jobs[job].objective_s
             for job in accepted
@@ -174,8 +187,9 @@
 def test_refused_jobs_hear_so_at_once(closed_loads):
     """Guards against refusing jobs only after they have waited."""
     late = []
-    for world, samples in closed_loads:
-        refused = Load(world, samples).jobs(work.Outcome.REFUSED)
+    for load in closed_loads:
+        world = load.world
+        refused = load.jobs(work.Outcome.REFUSED)
         assert refused
         for job in refused:
             assert world.answers[job][1].retry_after_ms > 0
@@ -200,14 +214,14 @@
 
 def test_no_job_is_refused_that_could_run(closed_loads):
     """Guards against refusing by forecast while an executor is free."""
-    for world, _ in closed_loads:
-        assert not world.engine.wrongly_refused
+    for load in closed_loads:
+        assert not load.world.engine.wrongly_refused
 
 
 def test_nothing_starts_in_the_closed_zone(closed_loads):
     """Guards against ways of starting tasks that don't see closed zones."""
-    for world, _ in closed_loads:
-        assert starts_in(world, CLOSED) == 0
+    for load in closed_loads:
+        assert load.starts == 0
 
 
 def test_open_executors_serve_what_they_can(closed_loads):
@@ -366,12 +380,12 @@
 
     def test_a_cold_executor_gets_few_starts_a_second(self):
         world = make_world(workers=0)
-        rates = {workerworld.SERVICE: warmup.ColdRate(per_s=4.0)}
-        world.engine.set_cold_rates(rates)
         world.add_worker(cpu=CPU, cold_s=20.0)
         world.run(0.2)
         for _ in range(40):
-            world.submit(tasks=1, work_s=0.01, target_ms=20_000)
+            world.submit(
+                tasks=1, work_s=0.01, target_ms=20_000, cold_per_s=4.0
+            )
         counts = [starts_in(world, "zone")]
         for _ in range(4):
             world.run(0.25)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -247,12 +247,29 @@
             data = json.dumps(replace_value(JOB, path, value)).encode()
             self.assertRaises(errors.NotRun, decode_job, data)
 
+    def test_cold_executors_of_a_service_are_configured_optionally(self):
+        decoder = wireconfig.ConfigDecoder()
+        path = ("services", 0, "coldPerS")
+        document = decoder.decode(json.dumps(CONFIG).encode())
+        self.assertEqual(0.0, document.queues[0].cold_per_s)
+        data = json.dumps(replace_value(CONFIG, path, 2.5)).encode()
+        document = decoder.decode(data)
+        self.assertEqual(2.5, document.queues[0].cold_per_s)
+        self.assertEqual(2.5, document.services[0].cold_per_s)
+        for value in ("2.5", True, -1, [], float("nan")):
+            data = json.dumps(replace_value(CONFIG, path, value)).encode()
+            self.assertRaises(errors.InvalidSettings, decoder.decode, data)
+
     def test_a_heartbeat_decodes(self):
         report = controlapi.decode_report(
             "i-1", json.dumps(HEARTBEAT).encode()
         )
         self.assertEqual(work.Room(16000, 32768, 0), report.room)
         self.assertFalse(report.is_draining)
+        self.assertEqual(0, report.cold_ms)
+        cold = dict(HEARTBEAT, coldRemainingMs=1800)
+        report = controlapi.decode_report("i-1", json.dumps(cold).encode())
+        self.assertEqual(1800, report.cold_ms)
         draining = dict(HEARTBEAT, state="draining", remainingMs=4500)
         report = controlapi.decode_report("i", json.dumps(draining).encode())
         self.assertTrue(report.is_draining)
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -320,6 +320,7 @@
         patience_ms=1500,
         crashing=(),
         leaves=False,
+        cold_per_s=0.0,
     ):
         """Submit a job; returns its id, None without a holder for it.
 
@@ -349,6 +350,7 @@
             waited_ms=int(waited_s * 1000),
             offers=offers,
             submission=submission,
+            cold_per_s=cold_per_s,
         )
         self.jobs[job_id] = job
         self.crashing.update(
