--- a/tests/test_closedzones.py
+++ b/tests/test_closedzones.py
@@ -27,6 +27,7 @@
 # The load begins this long before the zone is closed.
 BEFORE_S = 1.0
 SEEDS = (11, 12)
+SCHEDULES = 12
 # Bounds: jobs of priority 0 that are accepted are in time, refused ones hear
 # within this share of their objective, and the open executors earn nearly
 # what they earn by themselves at a load of 1.0.
@@ -392,3 +393,58 @@
             counts.append(starts_in(world, "zone"))
         self.assertLessEqual(counts[-1], 4 + 1)
         self.assertGreaterEqual(counts[-1], 3)
+
+
+class StrictEngine(CheckedEngine):
+    """Fails on a start order for an executor of a closed zone."""
+
+    def take_actions(self):
+        actions = super().take_actions()
+        for action in actions:
+            if isinstance(action, work.StartOrder):
+                executor = self.executors.get(action.executor)
+                if executor and executor.report.zone in self._closed_zones:
+                    raise workerworld.InvariantError("start in a closed zone")
+        return actions
+
+
+class ClosedZoneScheduleTest(testtools.TestCase):
+    """Random schedules of closed zones, crashes, holders and lost answers."""
+
+    def run_schedule(self, seed):
+        rng = random.Random(seed)
+        world = make_world(seed, workers=6, engine_class=StrictEngine)
+        world.net.response_loss_rate = rng.choice([0.0, 0.1])
+        world.net.late_delivery_rate = rng.choice([0.0, 0.05])
+        for _ in range(60):
+            world.run(rng.expovariate(12.0))
+            event = rng.random()
+            if event < 0.15:
+                count = rng.choice([0, 0, 1, 1, 2, 3])
+                world.close_zones(*rng.sample(ZONES, count))
+            elif event < 0.2:
+                world.switch_holder(knows_all=rng.random() < 0.5)
+            elif event < 0.25:
+                world.net.cut = set(rng.sample(sorted(world.workers), 1))
+            elif event < 0.3:
+                world.net.cut = set()
+            elif event < 0.33:
+                up = [n for n, model in world.workers.items() if model.is_up]
+                world.crash(rng.choice(up))
+            else:
+                world.submit(
+                    tasks=rng.choice([1, 2, 8, 16]),
+                    work_s=rng.choice([0.06, 0.2, 0.9]),
+                    priority=rng.choice([0, 1, 2]),
+                    patience_ms=5_000,
+                )
+        world.net.cut = set()
+        world.close_zones()
+        world.run(10.0)
+        self.assertEqual([], world.engine.wrongly_refused)
+        self.assertEqual(set(world.jobs), set(world.answers))
+        self.assertEqual([0] * 3, [max(runs_in(world, z)) for z in ZONES])
+
+    def test_nothing_starts_in_closed_zones_and_every_job_is_answered(self):
+        for seed in range(SCHEDULES):
+            self.run_schedule(seed)
