--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -298,6 +298,8 @@
   waitedMs @12 :UInt32;
   submission @13 :UInt64;
   losses @14 :List(TaskLoss);
+  coldStartS @15 :Float64;
+  coldPerS @16 :Float64;
 }
 
 struct ExecutorReport {
@@ -312,6 +314,8 @@
   remainingMs @8 :UInt64;
   clockMs @9 :UInt64;
   sequence @10 :UInt64;
+  bornMs @11 :UInt64;
+  coldMs @12 :UInt64;
 }
 
 struct JobOffer { job @0 :Job; }
