Executors: tell incarnations under one id apart by their start time

An executor that started again under its id was taken for the former one: its reports had lower sequence numbers and were dropped, its ends had known numbers and were skipped. Reports, lists and orders now carry born_ms; a later incarnation keeps the runs of the former one until its lists show which of them it has.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -6,6 +6,7 @@
 import typing
 
 from chervilwheel import disk
+from chervilwheel import errors
 from chervilwheel import grouphost
 from chervilwheel import ids
 from chervilwheel import journal
@@ -70,6 +71,8 @@
             zones=node.cfg.zones,
             reports=lambda: (report for _, report in self._reports.values()),
         )
+        # Services of the applied document, None until they are read.
+        self._services: frozenset[ids.ServiceId] | None = None
         self._pushes = pushes.PushTracker()
         self._started_at = self._heap.clock.now()
         self._is_stopping = False
@@ -101,6 +104,29 @@
         """This host's replica."""
         return self._group.member
 
+    def check_report(self, report: work.ExecutorReport) -> None:
+        """Check that an executor's report fits this deployment.
+
+        :raises errors.InvalidRequest: if the settings don't name its zone or
+            the document doesn't name its service
+        """
+        if self._cfg.zones and report.zone not in self._cfg.zones:
+            raise errors.InvalidRequest("zone: not in the settings")
+        if self._services is None:
+            self._services = self._read_services()
+        if self._services and report.service not in self._services:
+            raise errors.InvalidRequest("service: not in the configuration")
+
+    def _read_services(self) -> frozenset[ids.ServiceId]:
+        """Return the services of the document, empty without one."""
+        if not self.machine.version:
+            return frozenset()
+        try:
+            document = self._decoder.decode(self.machine.data)
+        except errors.InvalidSettings:
+            return frozenset()
+        return frozenset(service.name for service in document.services)
+
     def report(self, report: work.ExecutorReport) -> None:
         """Process an executor's report and forward it to control hosts."""
         self._store_report(report)
@@ -109,6 +135,25 @@
                 message = messages.ExecutorNews((report,))
                 self._node.links.send(name, message)
 
+    def deregister(self, executor: work.ExecutorId) -> None:
+        """Process the deregistration of an executor, if it is known.
+
+        It is meant for the incarnation that is known now.
+        """
+        at, known = self._reports.get(executor, (0.0, None))
+        if known is None or known.is_gone:
+            return
+        elapsed_ms = (self._heap.clock.now() - at) * 1000
+        self.report(
+            known._replace(
+                is_draining=True,
+                is_gone=True,
+                remaining_ms=0,
+                clock_ms=known.clock_ms + int(elapsed_ms),
+                sequence=work.LAST_SEQUENCE,
+            )
+        )
+
     def put(self, data: bytes, done: typing.Callable[[bool], None]) -> None:
         """Store a document.
 
@@ -293,7 +338,7 @@
 
     def _store_report(self, report: work.ExecutorReport) -> None:
         previous = self._reports.get(report.id)
-        if previous is not None and previous[1].sequence > report.sequence:
+        if previous is not None and not report.replaces(previous[1]):
             return
         has_changed = previous is None or _stable_fields(
             previous[1]
@@ -359,6 +404,7 @@
 
     def _on_document(self, version: int, data: bytes) -> None:
         _LOG.info("control: document applied", extra={"v": version})
+        self._services = None
         # A replica that catches up may apply many documents in a row; only
         # the last one is pushed.
         if not self._is_push_due:
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -309,7 +309,7 @@
         now = self._heap.clock.now()
         for report in message.reports:
             previous = self._reports.get(report.id)
-            if previous is not None and previous[1].sequence > report.sequence:
+            if previous is not None and not report.replaces(previous[1]):
                 continue
             self._reports[report.id] = (now, report)
             if report.zone in self._shared_zones():
--- /dev/null
+++ b/chervilwheel/loglimit.py
@@ -0,0 +1,34 @@
+"""Bounds the rate of log records about invalid input."""
+
+import logging
+import typing
+
+from chervilwheel import clock
+
+
+class LimitedLog:
+    """Logs at most one warning per interval and counts those left out.
+
+    :param log: the logger
+    :param clk: the clock
+    :param interval_s: minimum time between two warnings, seconds
+    """
+
+    def __init__(
+        self, *, log: logging.Logger, clk: clock.Clock, interval_s: float = 0.5
+    ) -> None:
+        self._log = log
+        self._clock = clk
+        self._interval_s = interval_s
+        self._next_at = 0.0
+        self._omitted = 0
+
+    def warning(self, text: str, **fields: typing.Any) -> None:
+        """Log a warning with fields unless the last one is too recent."""
+        now = self._clock.now()
+        if now < self._next_at:
+            self._omitted += 1
+            return
+        self._next_at = now + self._interval_s
+        self._log.warning(text, extra={**fields, "omitted": self._omitted})
+        self._omitted = 0
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -280,6 +280,7 @@
   isEarly @4 :Bool;
   isAlone @5 :Bool;
   isCrash @6 :Bool;
+  bornMs @7 :UInt64;
 }
 
 struct Job {
@@ -312,6 +313,7 @@
   remainingMs @8 :UInt64;
   clockMs @9 :UInt64;
   sequence @10 :UInt64;
+  bornMs @11 :UInt64;
 }
 
 struct JobOffer { job @0 :Job; }
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -45,6 +45,8 @@
 # Executors are given this long to list their runs to a new holder, before
 # jobs are refused for want of room.
 FIRST_LISTS_S = 0.3
+# Clock readings in answers may be this much older than the answer's order.
+CLOCK_READING_MS = 50
 # When ticks are further apart than this, answers may have arrived unread.
 MAX_TICK_INTERVAL_S = 0.05
 
@@ -161,14 +163,18 @@
             self._free_index.update(executor)
             self._rooms = None
             self._reconciler.add_executor(executor)
+        elif not executor.accepts(report):
+            return
         elif report.is_gone:
             self._remove_executor(executor, now, why=Departure.DEREGISTERED)
             return
-        elif report.sequence < executor.report.sequence:
-            return
+        elif report.born_ms > executor.born_ms:
+            executor = self._replace_incarnation(
+                executor, report, report.born_ms, report.clock_ms, now
+            )
         if report.is_draining and not executor.report.is_draining:
             executor.draining_since = now
-        if report.room != executor.report.room:
+        if report.room != executor.report.room or executor.is_report_due:
             self._rooms = None
         executor.update_report(report)
         executor.last_report_at = max(executor.last_report_at, now - age_s)
@@ -292,7 +298,8 @@
         executor = self.executors.get(order.executor)
         if executor is None:
             return
-        if clock_ms:
+        is_current = order.born_ms == executor.born_ms
+        if clock_ms and is_current:
             executor.update_clock(clock_ms, now)
         run = executor.runs.get(order.task)
         if run is None or run.number != order.run:
@@ -300,11 +307,8 @@
         if clock_ms:
             self._leases.round_trips.record(now - run.ordered_at)
         if verdict is work.StartVerdict.STARTED:
-            run.confirmed_at = now
-            run.percent_at = now
+            run.confirm(now)
             executor.rejections = 0
-            if run.state is not executors.RunState.STOPPING:
-                run.state = executors.RunState.RUNNING
             return
         if verdict is work.StartVerdict.UNKNOWN:
             if run.state is executors.RunState.STARTING:
@@ -313,7 +317,13 @@
                 executor.unusable_until = now + leases.RENEWAL_RETRY_S
             self._leases.poll(executor, now)
             return
-        self._start_refused(executor, run, verdict, now)
+        if is_current:
+            self._start_refused(executor, run, verdict, now)
+            return
+        # It says nothing about the current incarnation.
+        executor.remove_run(run.task)
+        self._job_table.requeue(run)
+        self._starter.place(now)
 
     def _start_refused(
         self,
@@ -366,6 +376,12 @@
         is_superseded = not order.is_poll and order.number < executor.renewal
         if not order.is_poll and not is_superseded:
             executor.is_renewing = False
+        executor = self._find_incarnation(executor, answer, sent_at, now)
+        is_current = order.born_ms == executor.born_ms
+        if not is_current and answer.born_ms != executor.born_ms:
+            return
+        if is_current and 0 < answer.born_ms < executor.born_ms:
+            answer = work.HoldAnswer(work.HoldVerdict.UNKNOWN)
         if answer.verdict is work.HoldVerdict.OTHER_LIFE:
             self._remove_executor(executor, now, why=Departure.REPLACED)
             return
@@ -382,10 +398,85 @@
             return
         self._give_up_crashing(self._losses.answered(executor, sent_at), now)
         self._leases.held(executor, order, answer, sent_at, now)
-        self._reconciler.reconcile(executor, answer, sent_at, now)
+        for run in self._reconciler.reconcile(executor, answer, sent_at, now):
+            former = typing.cast(executors.Executor, run.former)
+            self._losses.lost(former, run, now)
+            self._give_up_crashing(self._losses.replaced(former), now)
         self._starter.place(now, executor)
         self._maintain(executor, now)
 
+    def _find_incarnation(
+        self,
+        executor: executors.Executor,
+        answer: work.HoldAnswer,
+        sent_at: float,
+        now: float,
+    ) -> executors.Executor:
+        """Return the incarnation known after an answer, maybe a later one."""
+        if answer.born_ms <= executor.born_ms:
+            return executor
+        min_clock_ms = executor.min_clock_ms(sent_at) - CLOCK_READING_MS
+        if not executor.born_ms and answer.clock_ms >= min_clock_ms:
+            # Its clock has gone on; only its reports lacked the start time.
+            executor.born_ms = answer.born_ms
+            return executor
+        return self._replace_incarnation(
+            executor, executor.report, answer.born_ms, answer.clock_ms, now
+        )
+
+    def _replace_incarnation(
+        self,
+        former: executors.Executor,
+        report: work.ExecutorReport,
+        born_ms: int,
+        clock_ms: int,
+        now: float,
+    ) -> executors.Executor:
+        """Replace an executor that has started again under its id.
+
+        The runs of the former incarnation are kept until the lists of the
+        later one show which of them it has.
+
+        :param report: the latest report, maybe of the former incarnation
+        """
+        executor = executors.Executor(
+            report=report,
+            last_report_at=former.last_report_at,
+            stop_s=self._limits.stop_s,
+            on_free_changed=self._free_index.update,
+            renewal=former.renewal + 1,
+            born_ms=born_ms,
+            is_report_due=report.born_ms != born_ms,
+        )
+        executor.update_clock(clock_ms, now)
+        # Orders to the former incarnation may have extended the lease.
+        executor.lease_deadline_ms = executor.deadline_ms(
+            now, self._limits.max_lease_s + starter.START_LEASE_S
+        )
+        former.is_gone = True
+        former.on_free_changed = lambda _: None
+        self.executors[former.id] = executor
+        self._free_index.update(executor)
+        self._rooms = None
+        self._reconciler.add_executor(executor)
+        _LOG.info(
+            "engine: an executor has started again",
+            extra={
+                "executor": former.id,
+                "born_ms": born_ms,
+                "runs": len(former.runs),
+            },
+        )
+        if not former.unreachable_since:
+            self._executor_unreachable(former, now)
+            former.unreachable_since = now
+        for run in list(former.runs.values()):
+            former.remove_run(run.task)
+            run.inherit(former, now)
+            executor.add_run(run)
+        self._give_up_crashing(self._losses.replaced(former), now)
+        return executor
+
     def _executor_unreachable(
         self, executor: executors.Executor, now: float
     ) -> None:
@@ -407,7 +498,7 @@
     ) -> None:
         """Process an executor's answer that it has stopped a run."""
         executor = self.executors.get(order.executor)
-        if executor is None:
+        if executor is None or order.born_ms != executor.born_ms:
             return
         if clock_ms:
             executor.update_clock(clock_ms, now)
@@ -493,9 +584,11 @@
         """Drop expired runs or the executor, and renew its lease when due."""
         if executor.unreachable_since:
             self._drop_expired_runs(executor, now)
+        has_runs = any(run.former is None for run in executor.runs.values())
         if (
-            not executor.runs
-            and now - executor.last_report_at > EXECUTOR_RETENTION_S
+            now - executor.last_report_at > EXECUTOR_RETENTION_S
+            and not has_runs
+            and (not executor.runs or executor.unreachable_since)
         ):
             self._remove_executor(executor, now, why=Departure.SILENT)
             return
@@ -526,7 +619,7 @@
                 },
             )
             executor.remove_run(run.task)
-            self._losses.lost(executor, run, now)
+            self._losses.lost(run.former or executor, run, now)
             self._job_table.requeue(run)
 
     def raise_token(self, token: int, now: float) -> None:
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -42,6 +42,8 @@
         adopted it
     :ivar is_alone: whether no other run may be ordered beside it
     :ivar is_risky: whether it is of a queue whose tasks may crash executors
+    :ivar former: the incarnation that it was ordered on, if a later one has
+        replaced that and hasn't listed the run
     """
 
     task: work.TaskId
@@ -60,6 +62,37 @@
     is_orphan: bool = False
     is_alone: bool = False
     is_risky: bool = False
+    former: "Executor | None" = None
+
+    def inherit(self, former: "Executor", now: float) -> None:
+        """Keep what is known of a run whose executor started again.
+
+        A run that was confirmed has ended unless the later incarnation lists
+        it. Otherwise that incarnation may still carry out the order, whose
+        deadline is far in the future on its clock; a stop that the former
+        one confirmed doesn't prevent that.
+        """
+        self.former = former
+        self.probed_at = self.blocked_at = self.stop_sent_at = 0.0
+        self.percent_at = now
+        if self.confirmed_at:
+            self.order_deadline_ms = 0
+
+    def confirm(self, now: float) -> None:
+        """Record that the start order was answered as carried out."""
+        self.confirmed_at = now
+        self.percent_at = now
+        if self.former is not None:
+            # Either incarnation has carried it out, so it isn't sent any more.
+            self.order_deadline_ms = 0
+        if self.state is not RunState.STOPPING:
+            self.state = RunState.RUNNING
+
+    def settle(self) -> None:
+        """Record that the current incarnation has carried out the order."""
+        if self.former is not None:
+            self.former = None
+            self.order_deadline_ms = 0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -85,6 +118,10 @@
     :ivar lost_together: number of its runs when it became unreachable
     :ivar is_reserved: whether it is kept free for a task that runs alone
     :ivar on_free_changed: called after each change of the free resources
+    :ivar born_ms: start of this incarnation by its reports or its answers, 0
+        if unknown
+    :ivar is_report_due: whether an answer has shown this incarnation and the
+        report is that of a former one
     """
 
     report: work.ExecutorReport
@@ -119,6 +156,8 @@
     is_gone: bool = False
     is_fenced: bool = False
     on_free_changed: typing.Callable[["Executor"], None] = lambda _: None
+    born_ms: int = 0
+    is_report_due: bool = False
 
     @property
     def id(self) -> work.ExecutorId:
@@ -134,11 +173,26 @@
         """Calculate the free resources."""
         self.free = self.report.room
         self.largest_room = self.report.room
+        self.born_ms = max(self.born_ms, self.report.born_ms)
+
+    def accepts(self, report: work.ExecutorReport) -> bool:
+        """Return whether a report is of this incarnation or of a later one."""
+        if report.born_ms < self.born_ms and (
+            report.born_ms or self.is_report_due
+        ):
+            return False
+        return report.replaces(self.report)
 
     def update_report(self, report: work.ExecutorReport) -> None:
         """Store a newer status report."""
-        has_changed = report.room != self.report.room
+        has_changed = (
+            report.room != self.report.room
+            or report.service != self.report.service
+        )
         self.report = report
+        if self.is_report_due:
+            self.is_report_due = False
+            self.largest_room = report.room
         self.rejections = 0
         self.largest_room = self.largest_room.largest(report.room)
         if has_changed:
@@ -206,6 +260,7 @@
             self.is_synced
             and not self.is_gone
             and not self.is_retrying
+            and not self.is_report_due
             and not self.report.is_draining
             and not self.is_reserved
             and not self.runs_alone
--- a/chervilwheel/workers/leases.py
+++ b/chervilwheel/workers/leases.py
@@ -172,6 +172,7 @@
                 wait_ms,
                 is_poll=is_poll,
                 number=0 if is_poll else executor.renewal,
+                born_ms=executor.born_ms,
             )
         )
 
@@ -194,7 +195,8 @@
         if not order.wait_ms:
             self.round_trips.record(now - sent_at)
         executor.update_clock(answer.clock_ms, now)
-        executor.acked_upto = max(executor.acked_upto, order.acked_upto)
+        if order.born_ms == executor.born_ms:
+            executor.acked_upto = max(executor.acked_upto, order.acked_upto)
         if order.token != self.token:
             return
         if not executor.is_synced:
@@ -279,6 +281,7 @@
                 run.task,
                 run.number,
                 self.token,
+                born_ms=executor.born_ms,
             )
         )
 
--- a/chervilwheel/workers/losses.py
+++ b/chervilwheel/workers/losses.py
@@ -99,6 +99,7 @@
             address=executor.report.address,
             is_early=is_early(run, executor.unreachable_since or now),
             is_alone=executor.lost_together == 1,
+            born_ms=executor.born_ms,
         )
         self._add(state, task, loss, now)
         _LOG.info(
@@ -128,6 +129,7 @@
             address=executor.report.address,
             is_early=True,
             is_alone=True,
+            born_ms=executor.born_ms,
         )
         self._report(state, loss)
 
@@ -144,7 +146,7 @@
             return []
         return self._explain(
             address,
-            crashed=lambda loss: loss.executor != executor.id,
+            crashed=lambda loss: not _may_be_of(loss, executor),
             before=sent_at,
         )
 
@@ -157,7 +159,7 @@
         """
         return self._explain(
             executor.report.address,
-            crashed=lambda loss: loss.executor == executor.id or None,
+            crashed=lambda loss: _may_be_of(loss, executor) or None,
         )
 
     def _explain(
@@ -214,7 +216,10 @@
         loss: work.TaskLoss,
         now: float,
     ) -> None:
-        if any(each.executor == loss.executor for each in task.losses):
+        if any(
+            (each.executor, each.born_ms) == (loss.executor, loss.born_ms)
+            for each in task.losses
+        ):
             return
         task.losses += (loss,)
         task.lost_at = now
@@ -272,6 +277,12 @@
         ]
 
 
+def _may_be_of(loss: work.TaskLoss, executor: executors.Executor) -> bool:
+    """Return whether a loss may be that of an executor's incarnation."""
+    is_other = loss.born_ms and loss.born_ms != executor.born_ms
+    return loss.executor == executor.id and not is_other
+
+
 def _is_given_up(task: jobstate.Task) -> bool:
     crashes = [each for each in task.losses if each.is_crash]
     return len(crashes) >= MAX_CRASHES and any(
--- a/chervilwheel/workers/reconciler.py
+++ b/chervilwheel/workers/reconciler.py
@@ -63,11 +63,13 @@
         answer: work.HoldAnswer,
         sent_at: float,
         now: float,
-    ) -> None:
+    ) -> list[executors.Run]:
         """Process the run lists of an executor.
 
         :param sent_at: when they were requested, seconds
+        :returns: runs that have ended with a former incarnation
         """
+        ended_before = []
         for end in answer.ended:
             if end.number <= executor.processed_upto:
                 continue
@@ -84,12 +86,12 @@
             elif _is_lost(run, answer.clock_ms, sent_at):
                 executor.remove_run(run.task)
                 self._job_table.requeue(run)
-            elif (
-                run.state is executors.RunState.STARTING
-                and 0 < run.probed_at <= sent_at
-            ):
+                if run.former is not None:
+                    ended_before.append(run)
+            elif _needs_stop(run, sent_at, now):
                 # Its order may still be carried out, unless a stop precedes.
                 self._leases.stop(executor, run, now)
+        return ended_before
 
     def _add_orphan(
         self, executor: executors.Executor, row: work.RunStatus, now: float
@@ -120,6 +122,7 @@
         row: work.RunStatus,
         now: float,
     ) -> None:
+        run.settle()
         if not run.confirmed_at:
             run.confirmed_at = now
             run.percent_at = now
@@ -286,6 +289,18 @@
             self._finish(state, work.Outcome.COMPLETED, now, "")
 
 
+def _needs_stop(run: executors.Run, sent_at: float, now: float) -> bool:
+    """Return whether to stop a run that isn't listed but may still begin.
+
+    :param sent_at: when the lists were requested, seconds
+    """
+    if run.former is not None:
+        is_due = now - run.stop_sent_at > STOP_RETRY_S
+        return is_due and not run.confirmed_at
+    is_starting = run.state is executors.RunState.STARTING
+    return is_starting and 0 < run.probed_at <= sent_at
+
+
 def _is_lost(run: executors.Run, clock_ms: int, sent_at: float) -> bool:
     """Return whether a run that isn't listed can't begin any more.
 
--- a/chervilwheel/workers/starter.py
+++ b/chervilwheel/workers/starter.py
@@ -344,6 +344,7 @@
                 state.job.spec,
                 deadline_ms,
                 self._leases.token,
+                born_ms=executor.born_ms,
             )
         )
         self._leases.renew(executor, now)
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -7,6 +7,12 @@
 from chervilwheel import ids
 
 ExecutorId = typing.NewType("ExecutorId", str)
+# Higher than that of any heartbeat, so that a late heartbeat can't undo a
+# deregistration.
+LAST_SEQUENCE = 2**53 - 1
+# A heartbeat that an incarnation sent this much later than its deregistration
+# arrived shows that the deregistration was of a former incarnation.
+DEREGISTRATION_GRACE_MS = 1_000
 
 
 class Room(typing.NamedTuple):
@@ -79,6 +85,7 @@
     :ivar is_early: whether the run had just begun
     :ivar is_alone: whether the executor ran no other task
     :ivar is_crash: whether the executor is known to have crashed
+    :ivar born_ms: start of the incarnation that was lost, 0 if unknown
     """
 
     step: int
@@ -88,6 +95,7 @@
     is_early: bool = False
     is_alone: bool = False
     is_crash: bool = False
+    born_ms: int = 0
 
     @property
     def place(self) -> tuple[int, int]:
@@ -165,6 +173,8 @@
     :ivar clock_ms: its monotonic clock when it sent the report
     :ivar sequence: increases with each report of one incarnation
     :ivar remaining_ms: minimum time left until it stops, while it drains
+    :ivar born_ms: start of this incarnation in Unix milliseconds, 0 if the
+        executor doesn't report it
     """
 
     id: ExecutorId
@@ -178,6 +188,19 @@
     remaining_ms: int
     clock_ms: int
     sequence: int
+    born_ms: int = 0
+
+    def replaces(self, known: "ExecutorReport") -> bool:
+        """Return whether this report is used after another of the same id.
+
+        A report of a later incarnation is, whatever its sequence; one with a
+        start time is of a later incarnation than one without.
+        """
+        if self.born_ms != known.born_ms:
+            return self.born_ms > known.born_ms
+        if known.is_gone and known.born_ms and not self.is_gone:
+            return self.clock_ms > known.clock_ms + DEREGISTRATION_GRACE_MS
+        return self.sequence >= known.sequence
 
 
 class EndKind(enum.Enum):
@@ -241,12 +264,16 @@
 
 
 class HoldAnswer(typing.NamedTuple):
-    """Answer to a renewal; the lists are empty unless the verdict is HELD."""
+    """Answer to a renewal; the lists are empty unless the verdict is HELD.
+
+    :ivar born_ms: start of the incarnation that answers, 0 if not given
+    """
 
     verdict: HoldVerdict
     clock_ms: int = 0
     running: tuple[RunStatus, ...] = ()
     ended: tuple[RunEnd, ...] = ()
+    born_ms: int = 0
 
 
 class StartOrder(typing.NamedTuple):
@@ -254,6 +281,7 @@
 
     :ivar deadline_ms: time on the executor's clock after which the order is
         void
+    :ivar born_ms: the executor's incarnation known when it was issued
     """
 
     executor: ExecutorId
@@ -263,16 +291,21 @@
     spec: str
     deadline_ms: int
     token: int
+    born_ms: int = 0
 
 
 class StopOrder(typing.NamedTuple):
-    """Stops a run."""
+    """Stops a run.
+
+    :ivar born_ms: the executor's incarnation known when it was issued
+    """
 
     executor: ExecutorId
     address: addresses.Address
     task: TaskId
     run: int
     token: int
+    born_ms: int = 0
 
 
 class HoldOrder(typing.NamedTuple):
@@ -286,6 +319,7 @@
     :ivar number: number of the renewal, 0 for a poll
     :ivar is_poll: whether the order only reads the lists and may be sent
         while a renewal is in flight
+    :ivar born_ms: the executor's incarnation known when it was issued
     """
 
     executor: ExecutorId
@@ -296,6 +330,7 @@
     wait_ms: int
     is_poll: bool = False
     number: int = 0
+    born_ms: int = 0
 
 
 class Answer(typing.NamedTuple):
