--- a/standins/workermodel.py
+++ b/standins/workermodel.py
@@ -50,6 +50,8 @@
     :param now: true time, seconds
     :param guards: whether it rejects what exceeds its capacity
     :param on_end: called with each run that ends, at its time ``ends_at``
+    :param born_ms: wall time of its start in milliseconds, 0 if it doesn't
+        report it
     """
 
     def __init__(
@@ -63,7 +65,9 @@
         max_lease_s: float = 1.0,
         guards: bool = True,
         on_end: EndCallback | None = None,
+        born_ms: int = 0,
     ) -> None:
+        self.born_ms = born_ms
         self.cpu = cpu
         self.speed = speed
         self.stop_s = stop_s
@@ -216,6 +220,24 @@
             if run.ends_at <= now:
                 self._finish(run, run.end_kind)
 
+    def successor(self, *, now: float, born_ms: int) -> "WorkerModel":
+        """Return the incarnation after a restart under the same id.
+
+        It knows nothing of before: no run, no token, no numbers of ends, and
+        its clock starts again.
+        """
+        return WorkerModel(
+            cpu=self.cpu,
+            now=now,
+            clock_rate=self._clock_rate,
+            speed=self.speed,
+            stop_s=self.stop_s,
+            max_lease_s=self.max_lease_s,
+            guards=self.guards,
+            on_end=self._on_end,
+            born_ms=born_ms,
+        )
+
     def crash(self) -> None:
         """Stop the worker and drop its runs without listing their ends."""
         self.is_up = False
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -2,13 +2,14 @@
 
 Each worker listens on its own port, sends heartbeats to the control hosts
 and appends the start and the end of every run to a file, one JSON array a
-line.
+line. SIGUSR1 restarts all workers under their ids.
 """
 
 import argparse
 import asyncio
 import contextlib
 import json
+import signal
 import time
 
 from standins import workermodel
@@ -38,6 +39,7 @@
             now=time.monotonic(),
             stop_s=STOP_S,
             on_end=self._record_end,
+            born_ms=int(time.time() * 1000),
         )
         self._recorded_starts: set[tuple[str, int]] = set()
         self._event_log = open(opts.runs, "a", buffering=1)  # noqa: SIM115
@@ -52,6 +54,14 @@
                 self._send_heartbeats(), self._advance_forever()
             )
 
+    def restart(self) -> None:
+        """Start again under the same id, without the runs and counts."""
+        self._model.crash()
+        self._model = self._model.successor(
+            now=time.monotonic(), born_ms=int(time.time() * 1000)
+        )
+        self._sequence = 0
+
     async def _advance_forever(self) -> None:
         while True:
             self._model.advance(time.monotonic())
@@ -86,6 +96,7 @@
                     "labels": ["a", "r1"],
                     "clockMs": self._model.clock_ms(time.monotonic()),
                     "sequence": self._sequence,
+                    "born": self._model.born_ms,
                 }
             ).encode()
             for control in self._opts.control:
@@ -199,6 +210,7 @@
             self._model.advance(time.monotonic())
         rows = self._model.run_rows(time.monotonic())
         return verdict, {
+            "born": self._model.born_ms,
             "running": [[task, run, "", pct] for task, run, pct in rows],
             "ended": [[*row, ""] for row in self._model.unacknowledged_ends()],
         }
@@ -207,6 +219,13 @@
 async def serve(opts: argparse.Namespace) -> None:
     """Run all workers until cancelled."""
     workers = [Worker(opts=opts, number=n) for n in range(opts.count)]
+    loop = asyncio.get_running_loop()
+
+    def restart_all() -> None:
+        for worker in workers:
+            worker.restart()
+
+    loop.add_signal_handler(signal.SIGUSR1, restart_all)
     await asyncio.gather(*(worker.run() for worker in workers))
 
 
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -25,6 +25,7 @@
 # A holder declares an entry host lost after four heartbeat intervals of
 # 0.15 s each, which it checks once an interval.
 ENTRY_TIMEOUT_S = 0.75
+FIRST_BORN_MS = 1_790_000_000_000
 # Gap between the fencing tokens of successive holders, which leaves tokens
 # for holders without a quorum.
 TOKEN_STEP = 10
@@ -112,6 +113,7 @@
     :param engine_class: class of the engines
     :param cpu: capacity of a worker, thousandths of a core
     :param max_lease_s: maximum lease duration that workers grant, seconds
+    :param reports_born: whether workers report when they started
     """
 
     def __init__(
@@ -122,7 +124,11 @@
         engine_class=engine.Engine,
         cpu=CPU,
         max_lease_s=1.0,
+        reports_born=False,
     ):
+        self._reports_born = reports_born
+        # Of workers that have started again under their ids.
+        self._sequences = {}
         self.max_lease_s = max_lease_s
         self.rng = random.Random(seed)
         self.now = 1000.0
@@ -170,13 +176,50 @@
         options.setdefault("clock_rate", self.rng.uniform(0.98, 1.0))
         options.setdefault("stop_s", self.rng.uniform(0.0, STOP_S))
         options.setdefault("max_lease_s", self.max_lease_s)
-        model = workermodel.WorkerModel(now=self.now - 5.0, **options)
+        model = workermodel.WorkerModel(
+            now=self.now - 5.0, born_ms=self._born_ms(), **options
+        )
         self.workers[name] = model
         self.at(
-            self.rng.uniform(0, 0.1), lambda: self._report_periodically(name)
+            self.rng.uniform(0, 0.1),
+            lambda: self._report_periodically(name, model),
         )
         return name
 
+    def _born_ms(self):
+        if not self._reports_born:
+            return 0
+        return FIRST_BORN_MS + int(self.now * 1000)
+
+    def restart_under_id(self, name, *, down_s=0.3, report_s=0.1):
+        """Stop a worker and start it again under its id.
+
+        :param down_s: time until it serves orders again, seconds
+        :param report_s: time from then to its first report, seconds
+        """
+        self.workers[name].crash()
+        self.refusing[name] = None
+        self.at(down_s, lambda: self._start_again(name, report_s))
+
+    def _start_again(self, name, report_s):
+        del self.refusing[name]
+        model = self.workers[name].successor(
+            now=self.now, born_ms=self._born_ms()
+        )
+        self.workers[name] = model
+        self._sequences[name] = itertools.count(1)
+        self.at(report_s, lambda: self._report_periodically(name, model))
+
+    def delay_report(self, name, delay):
+        """Deliver a report that a worker sends now after a delay."""
+        report = self.report_of(name)
+        self.at(delay, lambda: self.deliver_report(report))
+
+    def deliver_report(self, report):
+        """Deliver a report to the holder."""
+        self.engine.report(report, self.now)
+        self._execute_actions(self.engine)
+
     def crash(self, name, *, restart_s=RESTART_S, is_dark=False):
         """Crash a worker and start another one at its address.
 
@@ -421,21 +464,27 @@
                     other.end_entry_jobs(name, self.now)
                     self._execute_actions(other)
 
-    def _report_periodically(self, name):
-        model = self.workers[name]
+    def _report_periodically(self, name, model):
         if not model.is_up:
             return
         for holder in (self.engine, self.standby):
             if holder is not None:
                 self._send_report(name, holder)
-        self.at(REPORT_INTERVAL_S, lambda: self._report_periodically(name))
+        self.at(
+            REPORT_INTERVAL_S, lambda: self._report_periodically(name, model)
+        )
 
     def _send_report(self, name, holder, *, is_forwarded=False):
-        model = self.workers[name]
         cut = self.net.unreachable_from.get(holder, self.net.cut)
         if name in cut and not is_forwarded:
             return
-        report = work.ExecutorReport(
+        holder.report(self.report_of(name), self.now)
+        self._execute_actions(holder)
+
+    def report_of(self, name):
+        """Return the next report of a worker."""
+        model = self.workers[name]
+        return work.ExecutorReport(
             id=name,
             service=SERVICE,
             address=self.addresses[name],
@@ -446,10 +495,9 @@
             is_gone=False,
             remaining_ms=0,
             clock_ms=model.clock_ms(self.now),
-            sequence=next(self._report_sequences),
+            sequence=next(self._sequences.get(name, self._report_sequences)),
+            born_ms=model.born_ms,
         )
-        holder.report(report, self.now)
-        self._execute_actions(holder)
 
     def send_reports(self):
         """Report all workers to the holder at once."""
@@ -670,6 +718,7 @@
                 )
                 for number, name, run, end_kind in model.unacknowledged_ends()
             ),
+            born_ms=model.born_ms,
         )
 
 
