--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -186,7 +186,7 @@
 
     def test_a_stop_of_the_former_incarnation_does_not_bind_the_new_one(self):
         world = self.world(workers=2)
-        world.net = DelayingNetwork(rng=world.rng, delay_s=0.085)
+        world.net = DelayingNetwork(rng=world.rng, delay_s=0.3)
         job = world.submit(tasks=1, work_s=0.8, patience_ms=LONG_PATIENCE_MS)
         (name,) = [
             each.id for each in world.engine.executors.values() if each.runs
@@ -194,6 +194,8 @@
         (run,) = world.engine.executors[name].runs.values()
         while not run.blocked_at and world.now < 1010.0:
             world.run(0.0005)
+        self.assertGreater(run.blocked_at, 0.0)
+        self.assertIn(run.task, world.engine.executors[name].runs)
         world.restart_under_id(name, down_s=0.0001, report_s=0.0001)
         world.run(6.0)
         self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
@@ -262,7 +264,7 @@
     def test_a_task_that_crashes_one_executor_again_and_again_is_given_up(
         self,
     ):
-        world = self.world(workers=2)
+        world = self.world(workers=1)
         world.crash = lambda name: world.restart_under_id(
             name, down_s=0.3, report_s=0.05
         )
