--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -186,6 +186,8 @@
 
     def test_a_stop_of_the_former_incarnation_does_not_bind_the_new_one(self):
         world = self.world(workers=2)
+        # The time in which orders are answered is measured first.
+        self.run_jobs(world, 20)
         world.net = DelayingNetwork(rng=world.rng, delay_s=0.3)
         job = world.submit(tasks=1, work_s=0.8, patience_ms=LONG_PATIENCE_MS)
         (name,) = [
