--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -6,6 +6,7 @@
 import typing
 
 from chervilwheel import disk
+from chervilwheel import errors
 from chervilwheel import grouphost
 from chervilwheel import ids
 from chervilwheel import journal
@@ -81,6 +82,9 @@
             evacuated=lambda: self._zone_view.evacuated,
         )
         self._zone_view = evacuations.ZoneView(part="control")
+        # Services of the document of the version in the second field.
+        self._services: frozenset[ids.ServiceId] = frozenset()
+        self._services_version = 0
         self._pushes = pushes.PushTracker()
         self._started_at = self._heap.clock.now()
         self._is_stopping = False
@@ -141,6 +145,33 @@
         return self.holder_role.runs_by_zone(
             ids.ZoneId(zone) for zone in self._cfg.zones
         )
+    def check_report(self, report: work.ExecutorReport) -> None:
+        """Check that an executor's report fits this deployment.
+
+        :raises errors.InvalidRequest: if the settings don't name its zone or
+            the document doesn't name its service
+        """
+        if self._cfg.zones and report.zone not in self._cfg.zones:
+            raise errors.InvalidRequest("zone: not in the settings")
+        if report.service not in self._services:
+            self._read_services()
+        if self._services and report.service not in self._services:
+            raise errors.InvalidRequest("service: not in the configuration")
+
+    def _read_services(self) -> None:
+        """Read the services of the document unless they are known.
+
+        Only an unknown service leads here: to decode a document of thousands
+        of queues takes tens of milliseconds.
+        """
+        if self._services_version == self.machine.version:
+            return
+        self._services_version = self.machine.version
+        try:
+            document = self._decoder.decode(self.machine.data)
+        except errors.InvalidSettings:
+            return
+        self._services = frozenset(each.name for each in document.services)
 
     def report(self, report: work.ExecutorReport) -> None:
         """Process an executor's report and forward it to control hosts."""
@@ -150,6 +181,25 @@
                 message = messages.ExecutorNews((report,))
                 self._node.links.send(name, message)
 
+    def deregister(self, executor: work.ExecutorId) -> None:
+        """Process the deregistration of an executor, if it is known.
+
+        It is meant for the incarnation that is known now.
+        """
+        at, known = self._reports.get(executor, (0.0, None))
+        if known is None or known.is_gone:
+            return
+        elapsed_ms = (self._heap.clock.now() - at) * 1000
+        self.report(
+            known._replace(
+                is_draining=True,
+                is_gone=True,
+                remaining_ms=0,
+                clock_ms=known.clock_ms + int(elapsed_ms),
+                sequence=work.LAST_SEQUENCE,
+            )
+        )
+
     def put(self, data: bytes, done: typing.Callable[[bool], None]) -> None:
         """Store a document.
 
@@ -379,7 +429,7 @@
 
     def _store_report(self, report: work.ExecutorReport) -> None:
         previous = self._reports.get(report.id)
-        if previous is not None and previous[1].sequence > report.sequence:
+        if previous is not None and not report.replaces(previous[1]):
             return
         has_changed = previous is None or _stable_fields(
             previous[1]
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -280,6 +280,7 @@
   isEarly @4 :Bool;
   isAlone @5 :Bool;
   isCrash @6 :Bool;
+  bornMs @7 :UInt64;
 }
 
 struct Job {
