Engine: a new incarnation in a closed zone is closed too

Cause: the executor that replaces a former incarnation was created open, so that after the merge of incarnations with closed zones its zone's evacuation did not hold for it until the next report; only the check at sending did. Change: it takes over closed zone and cold rate.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -145,6 +145,7 @@
         return self.holder_role.runs_by_zone(
             ids.ZoneId(zone) for zone in self._cfg.zones
         )
+
     def check_report(self, report: work.ExecutorReport) -> None:
         """Check that an executor's report fits this deployment.
 
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -470,6 +470,8 @@
             renewal=former.renewal + 1,
             born_ms=born_ms,
             is_report_due=report.born_ms != born_ms,
+            is_closed=report.zone in self._closed_zones,
+            cold_rate=former.cold_rate,
         )
         executor.update_clock(clock_ms, now)
         # Orders to the former incarnation may have extended the lease.
