Engine: learn the speeds of executors and place tasks by them

Cause: executors run at 0.6 to 1.6 of the nominal speed and don't report it. A long job on a slow one is late half of the time; the tightest fit ignores that.

Change: workers/speeds.py learns speeds from the times of completed runs, compared with the mean of their queue; workers/speedneeds.py derives from a job's objective how fast an executor is to be. Slower ones come last, and a long task waits for a faster one until its job may be refused, while few others do. Speeds between 0.8 and 1.25 count as 1.0.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -20,6 +20,7 @@
 from chervilwheel.workers import placement
 from chervilwheel.workers import reconciler
 from chervilwheel.workers import risk
+from chervilwheel.workers import speeds
 from chervilwheel.workers import starter
 from chervilwheel.workers import takeover
 from chervilwheel.workers import waitlimit
@@ -98,6 +99,7 @@
             job_table=self._job_table, actions=self._actions
         )
         self._risk = risk.QueueRisk()
+        self.speeds = speeds.SpeedTable()
         self._starter = starter.Starter(
             executors_by_id=self.executors,
             free_index=self._free_index,
@@ -105,12 +107,14 @@
             lease_manager=self._leases,
             loss_tracker=self._losses,
             queue_risk=self._risk,
+            speed_table=self.speeds,
             actions=self._actions,
         )
         self._reconciler = reconciler.RunReconciler(
             executors_by_id=self.executors,
             job_table=self._job_table,
             lease_manager=self._leases,
+            speed_table=self.speeds,
             finish=self._finish,
         )
         self._takeovers = takeover.Takeovers(
@@ -161,6 +165,8 @@
             self._free_index.update(executor)
             self._rooms = None
             self._reconciler.add_executor(executor)
+            life = getattr(report, "born_ms", 0)
+            executor.speed = self.speeds.add_executor(report.id, life, now)
         elif report.is_gone:
             self._remove_executor(executor, now, why=Departure.DEREGISTERED)
             return
@@ -427,6 +433,7 @@
         self.executors.pop(executor.id, None)
         self._rooms = None
         self._reconciler.remove_executor(executor)
+        self.speeds.remove_executor(executor.id)
         _LOG.info(
             "engine: an executor is gone",
             extra={
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -84,6 +84,7 @@
         or accepted start
     :ivar lost_together: number of its runs when it became unreachable
     :ivar is_reserved: whether it is kept free for a task that runs alone
+    :ivar speed: its speed as far as learned, relative to the nominal one
     :ivar on_free_changed: called after each change of the free resources
     """
 
@@ -111,6 +112,7 @@
     unusable_until: float = 0.0
     lost_together: int = 0
     is_reserved: bool = False
+    speed: float = 1.0
     risky_runs: int = 0
     runs_alone: int = 0
     orphans: int = 0
--- a/chervilwheel/workers/placement.py
+++ b/chervilwheel/workers/placement.py
@@ -3,8 +3,12 @@
 import typing
 
 from chervilwheel.workers import executors
+from chervilwheel.workers import speedneeds
 from chervilwheel.workers import work
 
+# Bounds the cost of a start when only slow executors have room.
+MAX_SLOW_CANDIDATES = 64
+
 
 def choose(
     candidates: typing.Iterable[executors.Executor],
@@ -12,6 +16,7 @@
     step: work.Step,
     *,
     is_risky: bool = False,
+    need: speedneeds.SpeedNeed = speedneeds.ANY_SPEED,
 ) -> executors.Executor | None:
     """Return the best executor for a task, or None if none fits.
 
@@ -19,9 +24,11 @@
         with the least free CPU first
     :param is_risky: whether the task is of a queue whose tasks may crash
         executors
+    :param need: speeds at which its job is answered in time
     """
     best = None
-    best_rank = (True, True)
+    best_rank = (True, True, True)
+    passed = 0
     for executor in candidates:
         labels = executor.report.labels
         if not executor.free.holds(step.room):
@@ -33,8 +40,14 @@
             if count >= step.most_together:
                 continue
         is_far = step.preferred_rack not in ("", *labels)
-        rank = (_mixes_risks(executor, is_risky), is_far)
-        if rank == (False, False):
+        is_slow = executor.speed < need.preferred
+        passed += is_slow
+        if passed > MAX_SLOW_CANDIDATES:
+            break
+        if executor.speed < need.least:
+            continue
+        rank = (_mixes_risks(executor, is_risky), is_slow, is_far)
+        if rank == (False, False, False):
             return executor
         if best is None or rank < best_rank:
             best, best_rank = executor, rank
--- a/chervilwheel/workers/reconciler.py
+++ b/chervilwheel/workers/reconciler.py
@@ -9,6 +9,7 @@
 from chervilwheel.workers import jobstate
 from chervilwheel.workers import jobtable
 from chervilwheel.workers import leases
+from chervilwheel.workers import speeds
 from chervilwheel.workers import takeover
 from chervilwheel.workers import work
 
@@ -18,6 +19,9 @@
 STOP_RETRY_S = 0.15
 # Minimum time in which a start order is to be answered.
 START_ANSWER_TIMEOUT_S = 0.06
+# A run's time is known well enough if its start was confirmed within this
+# share of it.
+MAX_ANSWER_SHARE = 0.3
 
 FinishCallback = typing.Callable[
     [jobstate.JobState, work.Outcome, float, str], None
@@ -30,6 +34,7 @@
     :param executors_by_id: all executors, by id
     :param job_table: all jobs of this holder
     :param lease_manager: issues stop orders
+    :param speed_table: learns from completed runs
     :param finish: called with a job, its outcome, the time and a reason
     """
 
@@ -39,11 +44,13 @@
         executors_by_id: typing.Mapping[work.ExecutorId, executors.Executor],
         job_table: jobtable.JobTable,
         lease_manager: leases.LeaseManager,
+        speed_table: speeds.SpeedTable,
         finish: FinishCallback,
     ) -> None:
         self._executors = executors_by_id
         self._job_table = job_table
         self._leases = lease_manager
+        self._speeds = speed_table
         self._finish = finish
         self._health: dict[work.ExecutorId, health.Health] = {}
         # Executors with orphans by job, None after a new orphan.
@@ -162,6 +169,7 @@
         if end.kind is work.EndKind.DONE:
             self._health[executor.id].succeeded()
             if state is not None:
+                self._record_time(executor, run, state, now)
                 state.open_runs -= 1
                 self._complete_task(state, end.task, now)
             return
@@ -186,6 +194,28 @@
             if task.failures >= state.job.attempts:
                 self._finish(state, work.Outcome.FAILED, now, "attempts")
 
+    def _record_time(
+        self,
+        executor: executors.Executor,
+        run: executors.Run,
+        state: jobstate.JobState,
+        now: float,
+    ) -> None:
+        """Learn from the time of a completed run that was confirmed here."""
+        ran_s = now - run.confirmed_at
+        answered_s = run.confirmed_at - run.ordered_at
+        if not run.confirmed_at or answered_s > MAX_ANSWER_SHARE * ran_s:
+            # Its start is too uncertain.
+            return
+        executor.speed = self._speeds.record(
+            executor.id,
+            state.job.queue,
+            job=state.job.id,
+            ran_s=ran_s,
+            estimated_s=run.expected_s,
+            now=now,
+        )
+
     def _process_orphan_end(self, end: work.RunEnd, now: float) -> None:
         """Process the end of a run that another holder ordered."""
         if end.kind is not work.EndKind.DONE:
--- a/chervilwheel/workers/starter.py
+++ b/chervilwheel/workers/starter.py
@@ -12,6 +12,8 @@
 from chervilwheel.workers import losses
 from chervilwheel.workers import placement
 from chervilwheel.workers import risk
+from chervilwheel.workers import speedneeds
+from chervilwheel.workers import speeds
 from chervilwheel.workers import work
 
 # A start order is void after this time, whether or not it was answered.
@@ -37,6 +39,7 @@
     :param lease_manager: renews the leases of executors with new runs
     :param loss_tracker: reports the starts of tasks that may crash executors
     :param queue_risk: tells which queues have such tasks
+    :param speed_table: speeds of the executors and run times of queues
     :param actions: list that the orders are appended to
     """
 
@@ -49,6 +52,7 @@
         lease_manager: leases.LeaseManager,
         loss_tracker: losses.LossTracker,
         queue_risk: risk.QueueRisk,
+        speed_table: speeds.SpeedTable,
         actions: list[work.Action],
     ) -> None:
         self.starts = 0
@@ -58,6 +62,9 @@
         self._leases = lease_manager
         self._losses = loss_tracker
         self._risk = queue_risk
+        self._needs = speedneeds.SpeedNeeds(
+            executors_by_id=executors_by_id, speed_table=speed_table
+        )
         self._actions = actions
         self._trials = exposure.ExposedExecutors(
             executors_by_id=executors_by_id,
@@ -139,6 +146,7 @@
             sharing = losses.sharing(task, attempt.now)
             step = state.job.steps[task.id.step]
             if sharing is losses.Sharing.SHARED:
+                need = self._need(state, task.id.step, attempt)
                 executor = attempt.choose(
                     task.id,
                     step,
@@ -146,8 +154,11 @@
                     is_risky=is_risky,
                     is_confined=is_risky
                     and not self._may_expose(state.job.service, attempt),
+                    need=need,
                 )
                 if executor is None:
+                    if need.least:
+                        attempt.delayed += len(state.pending)
                     break
                 state.pending.remove(task)
                 self._start(
@@ -164,6 +175,20 @@
             self._start_alone(state, task, executor, attempt.now)
         self._update_queue(state)
 
+    def _need(
+        self, state: jobstate.JobState, number: int, attempt: "_Attempt"
+    ) -> speedneeds.SpeedNeed:
+        """Return the speeds that the tasks of a step need."""
+        key = (state.job.id, number)
+        if key not in attempt.needs:
+            attempt.needs[key] = self._needs.need(
+                state,
+                state.job.steps[number],
+                delayed=attempt.delayed,
+                now=attempt.now,
+            )
+        return attempt.needs[key]
+
     def _may_expose(self, service: ids.ServiceId, attempt: "_Attempt") -> bool:
         """Return whether risky queues may use another executor.
 
@@ -366,6 +391,8 @@
     :param now: monotonic time, seconds
     :ivar has_room: whether some executor may have room for a waiting task
     :ivar open_tasks: tasks with an unfinished run, None until they are needed
+    :ivar delayed: tasks passed over that wait for a faster executor
+    :ivar needs: the speeds that tasks need, by job and step
     :ivar do_others_wait: whether jobs of queues wait that aren't risky, None
         until it is needed
     """
@@ -379,13 +406,16 @@
         now: float,
     ) -> None:
         self.now = now
+        self.delayed = 0
+        self.needs: dict[tuple[ids.JobId, int], speedneeds.SpeedNeed] = {}
         self.open_tasks: set[work.TaskId] | None = None
         self.do_others_wait: bool | None = None
         self._free_index = free_index
         self._only = only
         self._min_cpu = min_cpu
         self.has_room = self._has_room()
-        self._too_large: dict[ids.ServiceId, work.Room] = {}
+        # Least room and speed that no executor has.
+        self._rejected: dict[ids.ServiceId, list[tuple[work.Room, float]]] = {}
 
     def choose(
         self,
@@ -395,23 +425,28 @@
         *,
         is_risky: bool,
         is_confined: bool,
+        need: speedneeds.SpeedNeed,
     ) -> executors.Executor | None:
         """Return the best executor for a task, or None if none fits.
 
         :param is_risky: whether the task is of a risky queue
         :param is_confined: whether only executors with such tasks may be used
         """
-        too_large = self._too_large.get(service)
-        if too_large is not None and step.room.holds(too_large):
-            return None
+        for too_large, too_fast in self._rejected.get(service, ()):
+            if step.room.holds(too_large) and need.least >= too_fast:
+                return None
         candidates = self._candidates(service, step.room.cpu)
         if is_confined:
             candidates = (each for each in candidates if each.risky_runs)
-        executor = placement.choose(candidates, task, step, is_risky=is_risky)
+        executor = placement.choose(
+            candidates, task, step, is_risky=is_risky, need=need
+        )
         if executor is None:
             self.has_room = self._has_room()
             if not (step.required_label or step.most_together or is_confined):
-                self._too_large[service] = step.room
+                self._rejected.setdefault(service, []).append(
+                    (step.room, need.least)
+                )
         return executor
 
     def choose_empty(
--- a/loadtool/engine_cost.py
+++ b/loadtool/engine_cost.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import itertools
 import json
 import time
 
@@ -13,6 +14,7 @@
 from chervilwheel import ids
 from chervilwheel.workers import engine
 from chervilwheel.workers import leases
+from chervilwheel.workers import speeds
 from chervilwheel.workers import work
 
 SERVICE = ids.ServiceId("service")
@@ -20,6 +22,7 @@
 EXECUTOR_CAPACITY = work.Room(32_000, 65_536)
 TASK_DEMAND = work.Room(14_000, 64)
 TICK_S = 0.01
+UNEVEN = (0.6, 1.0, 1.6)
 
 
 class Benchmark:
@@ -27,9 +30,12 @@
 
     :param executors: number of executors
     :param queued_tasks: minimum number of pending tasks before each tick
+    :param is_uneven: whether the executors have different speeds
     """
 
-    def __init__(self, *, executors: int, queued_tasks: int) -> None:
+    def __init__(
+        self, *, executors: int, queued_tasks: int, is_uneven: bool = False
+    ) -> None:
         self._now = 1000.0
         self._job_count = 0
         self._queued_tasks = queued_tasks
@@ -42,6 +48,14 @@
             now=self._now,
             lease_limits=leases.LeaseLimits(1.0, 0.05),
         )
+        if is_uneven:
+            self._engine.speeds.restore(
+                speeds.SpeedRow(
+                    work.ExecutorId(f"x{number}"), 0, speed, speeds.MAX_WEIGHT
+                )
+                for number in range(executors)
+                if (speed := UNEVEN[number % len(UNEVEN)]) != 1.0
+            )
         for number in range(executors):
             name = work.ExecutorId(f"x{number}")
             self._unacked_ends[name] = []
@@ -155,19 +169,23 @@
     parser = argparse.ArgumentParser(prog="engine_cost")
     parser.add_argument("--tasks", type=int, default=5_000)
     opts = parser.parse_args()
-    for executors in (24, 88, 176, 270):
-        for queued_tasks in (50, 500, 1_000):
-            benchmark = Benchmark(
-                executors=executors, queued_tasks=queued_tasks
-            )
-            benchmark.run(500)
-            cost_ms = round(benchmark.run(opts.tasks), 4)
-            row = {
-                "executors": executors,
-                "waiting_tasks": queued_tasks,
-                "ms_a_task": cost_ms,
-            }
-            print(json.dumps(row))
+    for executors, queued_tasks, is_uneven in itertools.product(
+        (24, 88, 176, 270, 350), (50, 500, 1_000), (False, True)
+    ):
+        benchmark = Benchmark(
+            executors=executors,
+            queued_tasks=queued_tasks,
+            is_uneven=is_uneven,
+        )
+        benchmark.run(500)
+        cost_ms = round(benchmark.run(opts.tasks), 4)
+        row = {
+            "executors": executors,
+            "uneven": is_uneven,
+            "waiting_tasks": queued_tasks,
+            "ms_a_task": cost_ms,
+        }
+        print(json.dumps(row))
 
 
 if __name__ == "__main__":
--- a/tests/test_baselines.py
+++ b/tests/test_baselines.py
@@ -12,10 +12,13 @@
 
 import pytest
 
+from chervilwheel.workers import engine
 from chervilwheel.workers import jobstate
 from chervilwheel.workers import placement
+from chervilwheel.workers import speeds
 from chervilwheel.workers import waitlimit
 from chervilwheel.workers import work
+from tests import unevenload
 from tests import workerworld
 
 WORKERS = 12
@@ -37,6 +40,13 @@
 # engine that knows the true run times, both as shares of the total value.
 MIN_GAIN = 0.1
 MAX_ORACLE_LEAD = 0.05
+# Targets on executors of 0.6, 1.0 and 1.6 of the nominal speed: the maximum
+# lead of the same capacity at one speed and of an engine that knows the
+# speeds, and the minimum lead over one that doesn't learn them, as shares of
+# the answers within their objectives.
+MAX_EVEN_LEAD = 0.05
+MIN_LEARNING_GAIN = 0.04
+UNEVEN_SEEDS = (1, 2)
 
 
 class Kind(typing.NamedTuple):
@@ -147,7 +157,7 @@
 def test_it_beats_random_placement_where_placement_matters(monkeypatch):
     rng = random.Random(7)
 
-    def choose(candidates, task, step, *, is_risky=False):
+    def choose(candidates, task, step, *, is_risky=False, need=None):
         choices = fitting(candidates, step)
         return rng.choice(choices) if choices else None
 
@@ -162,7 +172,7 @@
 ):
     speeds = {}
 
-    def choose(candidates, task, step, *, is_risky=False):
+    def choose(candidates, task, step, *, is_risky=False, need=None):
         choices = fitting(candidates, step)
         return max(choices, key=lambda e: speeds[e.id], default=None)
 
@@ -184,3 +194,115 @@
         load=UNANSWERED_LOAD, unanswered_rate=UNANSWERED_RATE
     )
     assert unanswered >= UNANSWERED_SHARE * answered
+
+
+def timely_share(**options):
+    shares = []
+    for seed in UNEVEN_SEEDS:
+        world = unevenload.build(seed, **options)
+        shares.append(unevenload.play(world, seed).share)
+    return sum(shares) / len(shares)
+
+
+@pytest.fixture(scope="module")
+def uneven_share():
+    return timely_share()
+
+
+def forget_speeds(monkeypatch):
+    monkeypatch.setattr(speeds.SpeedTable, "record", lambda *_, **__: 1.0)
+
+
+def test_uneven_executors_serve_nearly_as_much_as_even_ones(uneven_share):
+    even_share = timely_share(speeds=unevenload.EVEN)
+    assert uneven_share >= even_share - MAX_EVEN_LEAD
+
+
+def test_learned_speeds_serve_more_than_unknown_ones(
+    uneven_share, monkeypatch
+):
+    forget_speeds(monkeypatch)
+    assert uneven_share >= timely_share() + MIN_LEARNING_GAIN
+
+
+def test_learned_speeds_beat_first_come_first_served(
+    uneven_share, monkeypatch
+):
+    forget_speeds(monkeypatch)
+    monkeypatch.setattr(waitlimit, "wait_limit_s", lambda *_, **__: 1e9)
+    on_time = jobstate.UrgencySpan(jobstate.Urgency.ON_TIME, math.inf)
+    monkeypatch.setattr(jobstate.JobState, "urgency", lambda *_: on_time)
+    assert uneven_share >= timely_share() + MIN_LEARNING_GAIN
+
+
+def test_learned_speeds_are_close_to_known_ones(uneven_share, monkeypatch):
+    shares = []
+    for seed in UNEVEN_SEEDS:
+        world = unevenload.build(seed)
+        true_speeds = {n: m.speed for n, m in world.workers.items()}
+        for name, executor in world.engine.executors.items():
+            executor.speed = true_speeds[name]
+        monkeypatch.setattr(
+            speeds.SpeedTable,
+            "record",
+            lambda _, name, *__, known=true_speeds, **___: known[name],
+        )
+        monkeypatch.setattr(speeds.SpeedTable, "is_uneven", True)
+        shares.append(unevenload.play(world, seed).share)
+    assert uneven_share >= sum(shares) / len(shares) - MAX_ORACLE_LEAD
+
+
+def test_speeds_near_the_nominal_one_change_no_order(monkeypatch):
+    # Guards against orders that follow the noise of the estimates.
+    def orders():
+        world = unevenload.build(1, speeds=(0.8, 1.0, 1.25))
+        return unevenload.play(world, 1, spread=0.2).orders
+
+    learned = orders()
+    forget_speeds(monkeypatch)
+    assert learned == orders()
+
+
+class SwitchingEngines:
+    """Engines of successive holders, with or without the former's table."""
+
+    def __init__(self, *, rows=()):
+        self.rows = rows
+
+    def __call__(self, **options):
+        successor = engine.Engine(**options)
+        successor.speeds.restore(self.rows)
+        return successor
+
+
+@pytest.mark.parametrize("is_sent", [True, False])
+def test_a_new_holder_serves_on_with_and_without_the_table(is_sent):
+    # Guards against a table that delays or refuses jobs when it is lost.
+    engines = SwitchingEngines()
+    world = unevenload.build(1, engine_class=engines)
+    unevenload.play(world, 1, seconds=8.0)
+    former = world.engine
+    engines.rows = former.speeds.rows() if is_sent else ()
+    world.switch_holder(knows_all=True)
+    assert world.engine.speeds.is_uneven == is_sent
+    world.run(1.0)
+    result = unevenload.play(world, 2, seconds=8.0)
+    assert world.engine.speeds.is_uneven
+    assert result.share >= 0.85
+    assert not world.engine.refusals
+
+
+def test_executors_that_return_at_another_speed_are_learned_anew():
+    # Guards against a speed that outlives the incarnation it was learned of.
+    world = unevenload.build(1)
+    unevenload.play(world, 1, seconds=8.0)
+    fast = [n for n, m in world.workers.items() if m.speed == 1.6]
+    for name in fast[:6]:
+        world.workers[name].speed = 0.6
+        world.crash(name)
+    world.run(5.0)
+    result = unevenload.play(world, 2, seconds=12.0)
+    assert result.share >= 0.8
+    for name, executor in world.engine.executors.items():
+        if world.workers[name].speed == 0.6:
+            assert executor.speed <= 1.0
