Control: pass learned speeds to the next holder and the standbys

Cause: a new holder learned the speeds of executors from the start, some 3 s of load.

Tables older than 60 s are dropped. Nothing waits for a table.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -22,6 +22,7 @@
 from chervilwheel.control import relay
 from chervilwheel.control import runtime
 from chervilwheel.control import scopes
+from chervilwheel.control import speedtransfer
 from chervilwheel.control import tokens
 from chervilwheel.workers import ports
 from chervilwheel.workers import work
@@ -71,6 +72,7 @@
             reports=lambda: (report for _, report in self._reports.values()),
         )
         self._pushes = pushes.PushTracker()
+        self._speeds = speedtransfer.SpeedTransfer()
         self._started_at = self._heap.clock.now()
         self._is_stopping = False
         self._is_push_due = False
@@ -95,6 +97,7 @@
         self._heap.call_every(LEADERSHIP_POLL_S, self._check_leadership)
         self._heap.call_every(STATUS_INTERVAL_S, self._send_status)
         self._heap.call_every(ENTRY_NEWS_INTERVAL_S, self._send_entry_news)
+        self._heap.call_every(speedtransfer.SEND_INTERVAL_S, self._send_speeds)
 
     @property
     def member(self) -> replica.Replica:
@@ -259,6 +262,7 @@
             links.handle(kind, self._on_replica_message)
         links.handle(messages.ExecutorNews, self._on_executor_news)
         links.handle(messages.EntryBeat, self._on_entry_beat)
+        links.handle(messages.ExecutorSpeeds, self._on_speeds)
 
     def _add_metrics(self) -> None:
         registry = self._node.metrics
@@ -357,6 +361,31 @@
                 if entry_link.zone == zone:
                     entry_link.link.send(news)
 
+    def _on_speeds(
+        self, _link: peers.MessageLink, message: messages.ExecutorSpeeds
+    ) -> None:
+        self._speeds.receive(message, self._heap.clock.now())
+
+    def _send_speeds(self) -> None:
+        """Send the learned speeds to hosts that may be the holder next."""
+        if not self.holder_role.is_active:
+            return
+        rows = self.holder_role.speed_rows()
+        if not self._speeds.is_due(rows, self._heap.clock.now()):
+            return
+        for name in self._control_hosts():
+            if name != self._cfg.id:
+                self._node.links.send(name, messages.ExecutorSpeeds(rows))
+        zones = [ids.ZoneId(zone) for zone in self._cfg.zones]
+        for shared in {self._standby_zones.shared_with(z) for z in zones}:
+            message = messages.ExecutorSpeeds(
+                self.holder_role.speed_rows(shared)
+            )
+            for entry_link in speedtransfer.standby_candidates(
+                self.holder_role.entries, shared
+            ):
+                entry_link.link.send(message)
+
     def _on_document(self, version: int, data: bytes) -> None:
         _LOG.info("control: document applied", extra={"v": version})
         # A replica that catches up may apply many documents in a row; only
@@ -461,6 +490,7 @@
             reports_complete_at=self._started_at + 2 * self._cfg.heartbeat_s,
             reports=live,
             may_send_orders=self._may_send_orders,
+            speed_rows=self._speeds.known(self._heap.clock.now()),
         )
         self._send_status()
 
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -17,6 +17,7 @@
 from chervilwheel.control import routing
 from chervilwheel.control import runtime
 from chervilwheel.control import scopes
+from chervilwheel.control import speedtransfer
 from chervilwheel.control import standby
 from chervilwheel.control import startwait
 from chervilwheel.control import tokens
@@ -84,6 +85,7 @@
         )
         self._term = 0
         self._standby = standby.Standby(me=self._me)
+        self._speeds = speedtransfer.SpeedTransfer()
         self._holder_role = holding.HolderRole(
             me=self._me,
             heap=node.heap,
@@ -117,6 +119,7 @@
         links.handle(messages.EntryNews, self._on_entry_news)
         links.handle(messages.EntryBeat, self._on_entry_beat)
         links.handle(messages.ExecutorNews, self._on_executor_news)
+        links.handle(messages.ExecutorSpeeds, self._on_speeds)
         links.handle(messages.DocumentPush, self._on_document)
         links.handle(messages.JobAnswer, self._on_answer)
         links.handle(messages.JobLosses, self._on_losses)
@@ -318,6 +321,11 @@
         while len(self._reports) > MAX_REPORTS:
             del self._reports[next(iter(self._reports))]
 
+    def _on_speeds(
+        self, _link: peers.MessageLink, message: messages.ExecutorSpeeds
+    ) -> None:
+        self._speeds.receive(message, self._heap.clock.now())
+
     def _status(self) -> messages.ControlNews:
         is_active = self._holder_role.is_active
         return messages.ControlNews(
@@ -352,6 +360,7 @@
             reports_complete_at=now if is_for_all else math.inf,
             reports=reports,
             may_send_orders=lambda: True,
+            speed_rows=self._speeds.known(now),
         )
         self._switch_holder(entryjobs.HolderId(self._me, self._term, True))
 
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -18,6 +18,7 @@
 from chervilwheel.workers import engine
 from chervilwheel.workers import leases
 from chervilwheel.workers import ports
+from chervilwheel.workers import speeds
 from chervilwheel.workers import work
 
 _LOG = logging.getLogger("holding")
@@ -116,6 +117,7 @@
         reports_complete_at: float,
         reports: typing.Iterable[tuple[float, work.ExecutorReport]],
         may_send_orders: typing.Callable[[], bool],
+        speed_rows: typing.Iterable[speeds.SpeedRow] = (),
     ) -> None:
         """Become the holder and take over the executors that have reported.
 
@@ -124,6 +126,7 @@
             executors that an earlier holder may have used, seconds
         :param reports: each with its arrival time, seconds
         :param may_send_orders: whether orders may be sent now
+        :param speed_rows: speeds that an earlier holder has learned
         """
         now = self._heap.clock.now()
         bump = fence.bump_above(self._highest_token)
@@ -133,6 +136,7 @@
             now=now,
             lease_limits=self._lease_limits,
         )
+        job_engine.speeds.restore(speed_rows, now)
         self._runner = enginerunner.EngineRunner(
             heap=self._heap,
             port=self._port,
@@ -206,6 +210,23 @@
         waiting = self._runner.engine.waiting_by_queue()
         return tuple(messages.QueueCount(*item) for item in waiting.items())
 
+    def speed_rows(
+        self, zones: typing.Collection[ids.ZoneId] | None = None
+    ) -> tuple[speeds.SpeedRow, ...]:
+        """Return the speeds learned that differ from the nominal one.
+
+        :param zones: the zones whose executors to return, None for all
+        """
+        if self._runner is None:
+            return ()
+        job_engine = self._runner.engine
+        return tuple(
+            row
+            for row in job_engine.speeds.rows()
+            if zones is None
+            or job_engine.executors[row.id].report.zone in zones
+        )
+
     def metric_values(self) -> dict[str, float]:
         """Return the engine's metrics, empty when not the holder."""
         if self._runner is None:
@@ -217,6 +238,8 @@
             "waiting": sum(job_engine.waiting_by_queue().values()),
             "starts_total": job_engine.starts,
             "refusals_total": job_engine.refusals,
+            "speed_slow": job_engine.speeds.slow,
+            "speed_fast": job_engine.speeds.fast,
             **{
                 f"start_verdict_{name}": count
                 for name, count in job_engine.verdicts.items()
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -7,6 +7,7 @@
 from chervilwheel import ids
 from chervilwheel import jobs
 from chervilwheel import replica
+from chervilwheel.workers import speeds
 from chervilwheel.workers import work
 
 
@@ -405,6 +406,12 @@
     token: int = 0
 
 
+class ExecutorSpeeds(typing.NamedTuple):
+    """Speeds that a holder has learned, for the next one."""
+
+    rows: tuple[speeds.SpeedRow, ...]
+
+
 class DocumentPush(typing.NamedTuple):
     """A committed configuration document.
 
@@ -469,5 +476,6 @@
         DocumentPush,
         Relayed,
         EntryNews,
+        ExecutorSpeeds,
     ],
 )
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -355,6 +355,14 @@
   token @7 :UInt64;
 }
 
+struct SpeedRow {
+  id @0 :Text;
+  life @1 :UInt64;
+  speed @2 :Float64;
+  weight @3 :Float64;
+}
+struct ExecutorSpeeds { rows @0 :List(SpeedRow); }
+
 struct Relayed { sender @0 :Text; receiver @1 :Text; data @2 :Data; }
 
 struct DocumentPush {
@@ -398,5 +406,6 @@
     relayed @30 :Relayed;
     entryNews @31 :EntryNews;
     jobLosses @32 :JobLosses;
+    executorSpeeds @33 :ExecutorSpeeds;
   }
 }
--- a/chervilwheel/workers/speeds.py
+++ b/chervilwheel/workers/speeds.py
@@ -45,6 +45,7 @@
 MAX_QUEUES = 512
 # A table of another holder may be old.
 RESTORED_SHARE = 0.5
+RESTORED_S = 60.0
 MAX_ROWS = 350
 # Limits of a queue's factor, seen as an error beyond.
 MAX_QUEUE_FACTOR = 2.0
@@ -122,6 +123,7 @@
         self._records: dict[work.ExecutorId, _Record] = {}
         self._queues: dict[str, _Mean] = {}
         self._restored: dict[work.ExecutorId, SpeedRow] = {}
+        self._restored_at = 0.0
         self._log_credit = MAX_LOGGED
         self._logged_at = 0.0
 
@@ -141,7 +143,8 @@
         self.remove_executor(executor)
         mean = _Mean()
         restored = self._restored.pop(executor, None)
-        if restored is not None and restored.life == life:
+        is_recent = now - self._restored_at <= RESTORED_S
+        if restored is not None and is_recent and restored.life == life:
             mean = _Mean(
                 math.log(restored.speed), restored.weight * RESTORED_SHARE
             )
@@ -211,8 +214,12 @@
         rows.sort(key=lambda row: -row.weight)
         return tuple(rows[:MAX_ROWS])
 
-    def restore(self, rows: typing.Iterable[SpeedRow]) -> None:
-        """Use the table of a former holder for executors yet to be added."""
+    def restore(self, rows: typing.Iterable[SpeedRow], now: float) -> None:
+        """Use the table of a former holder for executors added from now on.
+
+        It is forgotten after a while.
+        """
+        self._restored_at = now
         for row in tuple(rows)[:MAX_ROWS]:
             is_valid = (
                 math.isfinite(row.speed)
--- a/loadtool/engine_cost.py
+++ b/loadtool/engine_cost.py
@@ -50,11 +50,17 @@
         )
         if is_uneven:
             self._engine.speeds.restore(
-                speeds.SpeedRow(
-                    work.ExecutorId(f"x{number}"), 0, speed, speeds.MAX_WEIGHT
-                )
-                for number in range(executors)
-                if (speed := UNEVEN[number % len(UNEVEN)]) != 1.0
+                (
+                    speeds.SpeedRow(
+                        work.ExecutorId(f"x{number}"),
+                        0,
+                        speed,
+                        speeds.MAX_WEIGHT,
+                    )
+                    for number in range(executors)
+                    if (speed := UNEVEN[number % len(UNEVEN)]) != 1.0
+                ),
+                self._now,
             )
         for number in range(executors):
             name = work.ExecutorId(f"x{number}")
--- a/tests/test_baselines.py
+++ b/tests/test_baselines.py
@@ -271,7 +271,7 @@
 
     def __call__(self, **options):
         successor = engine.Engine(**options)
-        successor.speeds.restore(self.rows)
+        successor.speeds.restore(self.rows, options["now"])
         return successor
 
 
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -169,7 +169,9 @@
     def test_changes_of_classes_are_logged_a_bounded_number_of_times(self):
         table = speeds.SpeedTable()
         row = speeds.SpeedRow("x", 0, 0.6, speeds.MAX_WEIGHT)
-        table.restore(row._replace(id=f"x-{number}") for number in range(300))
+        table.restore(
+            (row._replace(id=f"x-{number}") for number in range(300)), 1.0
+        )
         with self.assertLogs("engine") as logs:
             for number in range(300):
                 table.add_executor(f"x-{number}", 0, 1.0)
@@ -197,7 +199,7 @@
     def test_a_new_holder_begins_with_them_at_a_reduced_weight(self):
         rows = self.learned().rows()
         table = speeds.SpeedTable()
-        table.restore(rows)
+        table.restore(rows, 0.0)
         self.assertLess(table.add_executor("slow", 5, 0.0), speeds.SLOW)
         self.assertGreater(table.add_executor("fast", 5, 0.0), speeds.FAST)
         self.assertEqual(1.0, table.add_executor("nominal", 5, 0.0))
@@ -206,13 +208,19 @@
 
     def test_a_row_of_another_incarnation_is_ignored(self):
         table = speeds.SpeedTable()
-        table.restore(self.learned().rows())
+        table.restore(self.learned().rows(), 0.0)
         self.assertEqual(1.0, table.add_executor("slow", 6, 0.0))
 
+    def test_a_table_is_forgotten_after_a_minute(self):
+        # Guards against a speed of an executor that returns long after.
+        table = speeds.SpeedTable()
+        table.restore(self.learned().rows(), 0.0)
+        self.assertEqual(1.0, table.add_executor("slow", 5, 61.0))
+
     def test_a_wrong_table_is_corrected_by_runs(self):
         # Guards against a stale table that keeps an executor out of use.
         site = Site()
-        site.table.restore([speeds.SpeedRow("x", 0, 0.6, 60.0)])
+        site.table.restore([speeds.SpeedRow("x", 0, 0.6, 60.0)], 0.0)
         site.table.add_executor("x", 0, 0.0)
         site.run_others(400)
         for _ in range(RUNS):
@@ -221,7 +229,7 @@
 
     def test_invalid_rows_are_ignored(self):
         table = speeds.SpeedTable()
-        table.restore(
+        rows = (
             speeds.SpeedRow("x", 0, speed, weight)
             for speed, weight in (
                 (0.0, 10.0),
@@ -234,11 +242,12 @@
                 (0.6, 1e9),
             )
         )
+        table.restore(rows, 0.0)
         self.assertEqual(1.0, table.add_executor("x", 0, 0.0))
 
     def test_a_table_is_bounded(self):
         table = speeds.SpeedTable()
         for number in range(1_000):
-            table.restore([speeds.SpeedRow(f"x-{number}", 0, 0.6, 60.0)])
+            table.restore([speeds.SpeedRow(f"x-{number}", 0, 0.6, 60.0)], 0.0)
             table.add_executor(f"x-{number}", 0, 0.0)
         self.assertEqual(speeds.MAX_ROWS, len(table.rows()))
