--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -26,6 +26,7 @@
 from chervilwheel.control import relay
 from chervilwheel.control import runtime
 from chervilwheel.control import scopes
+from chervilwheel.control import speedtransfer
 from chervilwheel.control import tokens
 from chervilwheel.control import zoneorders
 from chervilwheel.workers import ports
@@ -86,6 +87,7 @@
         self._services: frozenset[ids.ServiceId] = frozenset()
         self._services_version = 0
         self._pushes = pushes.PushTracker()
+        self._speeds = speedtransfer.SpeedTransfer()
         self._started_at = self._heap.clock.now()
         self._is_stopping = False
         self._is_push_due = False
@@ -120,6 +122,7 @@
         self._heap.call_every(LEADERSHIP_POLL_S, self._check_leadership)
         self._heap.call_every(STATUS_INTERVAL_S, self._send_status)
         self._heap.call_every(ENTRY_NEWS_INTERVAL_S, self._send_entry_news)
+        self._heap.call_every(speedtransfer.SEND_INTERVAL_S, self._send_speeds)
 
     @property
     def member(self) -> replica.Replica:
@@ -390,6 +393,7 @@
             links.handle(kind, self._on_replica_message)
         links.handle(messages.ExecutorNews, self._on_executor_news)
         links.handle(messages.EntryBeat, self._on_entry_beat)
+        links.handle(messages.ExecutorSpeeds, self._on_speeds)
 
     def _add_metrics(self) -> None:
         registry = self._node.metrics
@@ -499,6 +503,31 @@
                 if entry_link.zone == zone:
                     entry_link.link.send(news)
 
+    def _on_speeds(
+        self, _link: peers.MessageLink, message: messages.ExecutorSpeeds
+    ) -> None:
+        self._speeds.receive(message, self._heap.clock.now())
+
+    def _send_speeds(self) -> None:
+        """Send the learned speeds to hosts that may be the holder next."""
+        if not self.holder_role.is_active:
+            return
+        rows = self.holder_role.speed_rows()
+        if not self._speeds.is_due(rows, self._heap.clock.now()):
+            return
+        for name in self._control_hosts():
+            if name != self._cfg.id:
+                self._node.links.send(name, messages.ExecutorSpeeds(rows))
+        zones = [ids.ZoneId(zone) for zone in self._cfg.zones]
+        for shared in {self._standby_zones.shared_with(z) for z in zones}:
+            message = messages.ExecutorSpeeds(
+                self.holder_role.speed_rows(shared)
+            )
+            for entry_link in speedtransfer.standby_candidates(
+                self.holder_role.entries, shared
+            ):
+                entry_link.link.send(message)
+
     def _on_document(self, version: int, data: bytes) -> None:
         _LOG.info("control: document applied", extra={"v": version})
         # A replica that catches up may apply many documents in a row; only
@@ -648,6 +677,7 @@
             reports=live,
             may_send_orders=self._may_send_orders,
             closed_zones=self._zone_view.evacuated,
+            speed_rows=self._speeds.known(self._heap.clock.now()),
         )
         self._send_status()
 
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -17,6 +17,7 @@
 from chervilwheel.control import routing
 from chervilwheel.control import runtime
 from chervilwheel.control import scopes
+from chervilwheel.control import speedtransfer
 from chervilwheel.control import standby
 from chervilwheel.control import startwait
 from chervilwheel.control import tokens
@@ -89,6 +90,7 @@
         )
         self._term = 0
         self._standby = standby.Standby(me=self._me)
+        self._speeds = speedtransfer.SpeedTransfer()
         self._holder_role = holding.HolderRole(
             me=self._me,
             heap=node.heap,
@@ -125,6 +127,7 @@
         links.handle(messages.EntryNews, self._on_entry_news)
         links.handle(messages.EntryBeat, self._on_entry_beat)
         links.handle(messages.ExecutorNews, self._on_executor_news)
+        links.handle(messages.ExecutorSpeeds, self._on_speeds)
         links.handle(messages.DocumentPush, self._on_document)
         links.handle(messages.JobAnswer, self._on_answer)
         links.handle(messages.JobLosses, self._on_losses)
@@ -360,6 +363,11 @@
         while len(self._reports) > MAX_REPORTS:
             del self._reports[next(iter(self._reports))]
 
+    def _on_speeds(
+        self, _link: peers.MessageLink, message: messages.ExecutorSpeeds
+    ) -> None:
+        self._speeds.receive(message, self._heap.clock.now())
+
     def _status(self) -> messages.ControlNews:
         is_active = self._holder_role.is_active
         return messages.ControlNews(
@@ -396,6 +404,7 @@
             may_send_orders=lambda: True,
             closed_zones=self._zone_watch.closed_zones(),
             may_start=self._zone_watch.may_start,
+            speed_rows=self._speeds.known(now),
         )
         self._switch_holder(entryjobs.HolderId(self._me, self._term, True))
 
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -18,6 +18,7 @@
 from chervilwheel.workers import engine
 from chervilwheel.workers import leases
 from chervilwheel.workers import ports
+from chervilwheel.workers import speeds
 from chervilwheel.workers import work
 
 _LOG = logging.getLogger("holding")
@@ -118,6 +119,7 @@
         may_send_orders: typing.Callable[[], bool],
         closed_zones: frozenset[ids.ZoneId] = frozenset(),
         may_start: typing.Callable[[], bool] = lambda: True,
+        speed_rows: typing.Iterable[speeds.SpeedRow] = (),
     ) -> None:
         """Become the holder and take over the executors that have reported.
 
@@ -128,6 +130,7 @@
         :param may_send_orders: whether orders may be sent now
         :param closed_zones: zones in which nothing is started
         :param may_start: whether tasks may be started now
+        :param speed_rows: speeds that an earlier holder has learned
         """
         now = self._heap.clock.now()
         bump = fence.bump_above(self._highest_token)
@@ -137,6 +140,7 @@
             now=now,
             lease_limits=self._lease_limits,
         )
+        job_engine.speeds.restore(speed_rows, now)
         self._runner = enginerunner.EngineRunner(
             heap=self._heap,
             port=self._port,
@@ -230,6 +234,23 @@
             return {}
         return self._runner.engine.runs_by_zone(zones, self._heap.clock.now())
 
+    def speed_rows(
+        self, zones: typing.Collection[ids.ZoneId] | None = None
+    ) -> tuple[speeds.SpeedRow, ...]:
+        """Return the speeds learned that differ from the nominal one.
+
+        :param zones: the zones whose executors to return, None for all
+        """
+        if self._runner is None:
+            return ()
+        job_engine = self._runner.engine
+        return tuple(
+            row
+            for row in job_engine.speeds.rows()
+            if zones is None
+            or job_engine.executors[row.id].report.zone in zones
+        )
+
     def metric_values(self) -> dict[str, float]:
         """Return the engine's metrics, empty when not the holder."""
         if self._runner is None:
@@ -244,6 +265,8 @@
             "refusals_closed_zone_total": job_engine.closed_zone_refusals,
             "closed_executors": job_engine.count_closed(),
             "cold_executors": job_engine.count_cold(self._heap.clock.now()),
+            "speed_slow": job_engine.speeds.slow,
+            "speed_fast": job_engine.speeds.fast,
             **{
                 f"start_verdict_{name}": count
                 for name, count in job_engine.verdicts.items()
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -20,6 +20,7 @@
 from chervilwheel.workers import reconciler
 from chervilwheel.workers import refusal
 from chervilwheel.workers import risk
+from chervilwheel.workers import speeds
 from chervilwheel.workers import starter
 from chervilwheel.workers import takeover
 from chervilwheel.workers import warmup
@@ -89,6 +90,7 @@
             job_table=self._job_table, actions=self._actions
         )
         self._risk = risk.QueueRisk()
+        self.speeds = speeds.SpeedTable()
         self._starter = starter.Starter(
             executors_by_id=self.executors,
             free_index=self._free_index,
@@ -96,12 +98,14 @@
             lease_manager=self._leases,
             loss_tracker=self._losses,
             queue_risk=self._risk,
+            speed_table=self.speeds,
             actions=self._actions,
         )
         self._reconciler = reconciler.RunReconciler(
             executors_by_id=self.executors,
             job_table=self._job_table,
             lease_manager=self._leases,
+            speed_table=self.speeds,
             finish=self._finish,
         )
         self._refuser = refusal.Refuser(
@@ -174,6 +178,7 @@
             self._free_index.update(executor)
             self._refuser.executors_changed()
             self._reconciler.add_executor(executor)
+            self._add_speed(executor, now)
         elif not executor.accepts(report):
             return
         elif report.is_gone:
@@ -447,6 +452,11 @@
             executor, executor.report, answer.born_ms, answer.clock_ms, now
         )
 
+    def _add_speed(self, executor: executors.Executor, now: float) -> None:
+        executor.speed = self.speeds.add_executor(
+            executor.id, executor.born_ms, now
+        )
+
     def _replace_incarnation(
         self,
         former: executors.Executor,
@@ -484,6 +494,7 @@
         self._free_index.update(executor)
         self._refuser.executors_changed()
         self._reconciler.add_executor(executor)
+        self._add_speed(executor, now)
         _LOG.info(
             "engine: an executor has started again",
             extra={
@@ -543,6 +554,7 @@
         self.executors.pop(executor.id, None)
         self._refuser.executors_changed()
         self._reconciler.remove_executor(executor)
+        self.speeds.remove_executor(executor.id)
         _LOG.info(
             "engine: an executor is gone",
             extra={
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -123,6 +123,7 @@
     :ivar cold: when it is slow after its start
     :ivar cold_rate: what is configured for that time
     :ivar next_cold_start_at: when it may get its next run while it is cold
+    :ivar speed: its speed as far as learned, relative to the nominal one
     :ivar on_free_changed: called after each change of the free resources
     :ivar born_ms: start of this incarnation by its reports or its answers, 0
         if unknown
@@ -155,6 +156,7 @@
     lost_together: int = 0
     is_closed: bool = False
     is_reserved: bool = False
+    speed: float = 1.0
     risky_runs: int = 0
     runs_alone: int = 0
     orphans: int = 0
