--- a/tests/test_controlapi.py
+++ b/tests/test_controlapi.py
@@ -4,8 +4,10 @@
 
 import testtools
 
+from chervilwheel import clock
 from chervilwheel import errors
 from chervilwheel import guard
+from chervilwheel import metrics
 from chervilwheel.http import server
 from tests import adapter
 
@@ -40,7 +42,11 @@
     def setUp(self):
         super().setUp()
         self.control = _Control()
-        self.api = controlapi.ControlApi(control=self.control)
+        self.api = controlapi.ControlApi(
+            control=self.control,
+            registry=metrics.Registry(),
+            clk=clock.ManualClock(),
+        )
 
     def call(self, target, *, method="POST", body=b""):
         """Make a call; return the list that its response is added to."""
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -163,6 +163,21 @@
         world.run(1.5)
         self.assertEqual(1, world.workers[name].starts)
 
+    def test_a_new_incarnation_in_a_closed_zone_is_closed(self):
+        for report_s in (0.01, 1.2):
+            world = self.world()
+            name = self.name(world)
+            world.submit(tasks=1, work_s=3.0, patience_ms=LONG_PATIENCE_MS)
+            world.run(0.1)
+            world.close_zones(world.zones[name])
+            world.restart_under_id(name, down_s=0.01, report_s=report_s)
+            world.run(0.6)
+            executor = world.engine.executors[name]
+            self.assertEqual(world.workers[name].born_ms, executor.born_ms)
+            self.assertTrue(executor.is_closed)
+            world.run(1.5)
+            self.assertEqual(0, world.workers[name].starts)
+
     def test_a_start_carried_out_by_the_new_incarnation_is_not_repeated(self):
         # The order to the former one arrives while the lists are read, or
         # later; its deadline is far in the future on the new clock.
