--- a/chervilwheel/commands.py
+++ b/chervilwheel/commands.py
@@ -110,6 +110,7 @@
         | cluster.Health
         | Data
         | logcommands.Explain
+        | logcommands.Losses
     ]
 
 
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -120,6 +120,11 @@
         if state.waiting:
             return
         del self._jobs[job]
+        waited_s = self._heap.clock.now() - state.submitted_at
+        _LOG.info(
+            "entry: the callers of a job have left",
+            extra=self._describe(state, waited_s),
+        )
         if state.offered_to is not None and self.holder is not None:
             self._send_cancel(self.holder, 0, job)
 
@@ -243,23 +248,28 @@
         waited_s = self._heap.clock.now() - state.submitted_at
         self._outcomes[answer.outcome.value] += 1
         self._latency.record(waited_s * 1000)
+        outcome = {"outcome": answer.outcome.value, "reason": answer.reason}
         if answer.outcome is not work.Outcome.COMPLETED:
             _LOG.info(
                 "entry: a job was not completed",
-                extra=self._describe(state, answer, waited_s),
+                extra=self._describe(state, waited_s) | outcome,
+            )
+        elif waited_s > state.job.objective_s:
+            _LOG.info(
+                "entry: a job was completed late",
+                extra=self._describe(state, waited_s),
             )
         for answered in state.waiting.values():
             answered(answer)
 
     def _describe(
-        self, state: _JobState, answer: work.Answer, waited_s: float
+        self, state: _JobState, waited_s: float
     ) -> dict[str, typing.Any]:
         """Return the log fields that explain an answer."""
         return {
-            "job": answer.job,
-            "outcome": answer.outcome.value,
-            "reason": answer.reason,
+            "job": state.job.id,
             "waited_s": round(waited_s, 3),
+            "objective_s": round(state.job.objective_s, 3),
             "queue": state.job.queue,
             "offers": state.offers,
             "holder": state.offered_to.host if state.offered_to else "",
--- a/chervilwheel/control/startwait.py
+++ b/chervilwheel/control/startwait.py
@@ -5,10 +5,13 @@
 between can wait that long and still be in time.
 """
 
+import logging
 import typing
 
 from chervilwheel import timers
 
+_LOG = logging.getLogger("entry")
+
 # An election after a restart takes 0.4 to 0.8 s, and the control hosts start
 # before the entry hosts.
 MAX_WAIT_S = 0.6
@@ -38,7 +41,7 @@
         """
         limit_s = min(MAX_WAIT_S, WAIT_WORK_SHARE * work_s)
         if not limit_s:
-            done(None)
+            self._refuse(done, 0.0)
             return
         self._last_number += 1
         number = self._last_number
@@ -53,6 +56,13 @@
             done(now - since)
 
     def _give_up(self, number: int) -> None:
-        _, done = self._waiting.pop(number, (0.0, None))
+        since, done = self._waiting.pop(number, (0.0, None))
         if done is not None:
-            done(None)
+            self._refuse(done, self._heap.clock.now() - since)
+
+    def _refuse(self, done: Waited, waited_s: float) -> None:
+        _LOG.info(
+            "entry: a request was refused without a document",
+            extra={"waited_s": round(waited_s, 3)},
+        )
+        done(None)
--- a/chervilwheel/explanation.py
+++ b/chervilwheel/explanation.py
@@ -1,11 +1,10 @@
 """Collect the log records of several processes about one request."""
 
 import datetime
-import json
 import pathlib
 import typing
 
-from chervilwheel import errors
+from chervilwheel import logrecords
 
 # Maximum distance between a context record and the request's own records.
 # An executor failure can be logged up to one lease (0.7 s) plus a call timeout
@@ -16,7 +15,7 @@
 # Loggers that report which host is the holder, its commands and its disk.
 _HOLDER_LOGGERS = ("holding", "holder", "entry", "group")
 
-Row = dict[str, typing.Any]
+Row = logrecords.Row
 
 
 class Explanation(typing.NamedTuple):
@@ -44,22 +43,15 @@
         a log collector is ignored
     :raises errors.ChervilwheelError: when a file can't be read
     """
-    rows: list[Row] = []
-    unreadable = 0
-    for path in files:
-        for line in _read_lines(path):
-            row = _parse_record(line)
-            if row is None:
-                unreadable += bool(line.strip())
-            else:
-                rows.append(row)
-    rows.sort(key=lambda row: str(row.get("at", "")))
+    rows, unreadable = logrecords.read(files)
     matches = [row for row in rows if _refers_to(row, request)]
     if not matches:
         return Explanation([], unreadable)
     match_ids = {id(row) for row in matches}
     executors = {row["executor"] for row in matches if "executor" in row}
-    times = [at for row in matches if (at := _parse_time(row)) is not None]
+    times = [
+        at for row in matches if (at := logrecords.parse_time(row)) is not None
+    ]
     selected = []
     for row in rows:
         about = (
@@ -72,25 +64,6 @@
     return Explanation(selected, unreadable)
 
 
-def _read_lines(path: pathlib.Path) -> list[str]:
-    try:
-        return path.read_text(errors="replace").splitlines()
-    except OSError as exc:
-        raise errors.StorageError(f"{path}: {exc.strerror}") from exc
-
-
-def _parse_record(line: str) -> Row | None:
-    """Parse the JSON object in a line, None when there is none."""
-    start = line.find("{")
-    if start < 0:
-        return None
-    try:
-        row = json.loads(line[start:])
-    except ValueError:
-        return None
-    return row if isinstance(row, dict) and "message" in row else None
-
-
 def _refers_to(row: Row, request: str) -> bool:
     """Whether a record names the request's job or one of its tasks."""
     task = row.get("task")
@@ -106,17 +79,9 @@
     return "belief" if is_holder_record else ""
 
 
-def _parse_time(row: Row) -> datetime.datetime | None:
-    """Parse the timestamp of a record, None when it is invalid."""
-    try:
-        return datetime.datetime.fromisoformat(str(row.get("at", "")))
-    except ValueError:
-        return None
-
-
 def _is_near(row: Row, times: list[datetime.datetime]) -> bool:
     """Whether a record was logged close to the request's records."""
-    at = _parse_time(row)
+    at = logrecords.parse_time(row)
     if at is None or not times:
         return False
     window = datetime.timedelta(seconds=CONTEXT_WINDOW_S)
--- a/chervilwheel/workers/refusal.py
+++ b/chervilwheel/workers/refusal.py
@@ -343,6 +343,9 @@
                         "limit_s": round(limit_s, 3),
                         "waiting_tasks": waiting_tasks,
                         "fit": placement.count_places(may_start, state.job),
+                        "paused_fit": placement.count_places(
+                            self._paused(now), state.job
+                        ),
                         "usable": usable,
                         "executors": len(self._executors),
                     },
@@ -355,6 +358,14 @@
                     retry_after_ms=NO_ROOM_RETRY_MS,
                 )
 
+    def _paused(self, now: float) -> list[executors.Executor]:
+        """List the executors that only don't get new runs for the moment."""
+        return [
+            executor
+            for executor in self._executors.values()
+            if _is_open(executor) and not executor.may_start(now)
+        ]
+
     def _is_room_unknown(self, now: float) -> bool:
         """Return whether most executors haven't answered a new holder yet."""
         if now - self._began_at >= FIRST_LISTS_S:
