Standby: keep the token while followers repeat it, tell them at once

Cause: a standby holder took its own token, repeated in the heartbeats of the hosts that follow it, for a higher one, and raised its token every 0.15 s (26 times in a zone cut of 5 s). Each time it asked all executors for their lists and started nothing until they came. After 38 s the counter of 8 bits would have been used up, and the leader that returns could not have gone above it. Its followers also learned of it only with the next heartbeat.

Change: only a higher token is outbid; the standby sends its status as it begins.

The test failed before.

--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -188,7 +188,13 @@
             self._use_bump(self._bump + 1)
 
     def raise_token_above(self, token: int) -> None:
-        """Use a token above one whose holder sends no orders any more."""
+        """Use a token above one whose holder sends no orders any more.
+
+        A token that isn't higher is this holder's own, repeated by a host
+        that follows it.
+        """
+        if token <= self.engine.token:
+            return
         bump = self._fence.bump_above(token)
         if bump > self._bump:
             self._use_bump(bump)
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -407,6 +407,8 @@
             speed_rows=self._speeds.known(now),
         )
         self._switch_holder(entryjobs.HolderId(self._me, self._term, True))
+        # The jobs of the other hosts wait for it.
+        self._holder_role.send_status(self._status())
 
     def _on_entry_news(
         self, _link: peers.MessageLink, message: messages.EntryNews
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -482,6 +482,18 @@
             world.ports[second].highest_token,
         )
 
+    def test_a_standby_keeps_its_token_while_it_has_followers(self):
+        world = self.world(entries=3, make_port=AnsweringPort)
+        self.report_executors(world, by_zone=1)
+        self.stop_controls(world)
+        (standby,) = self.standbys(world)
+        token = world.entries[standby]._holder_role.highest_token
+        world.run(5.0)
+        self.assertEqual([standby], self.standbys(world))
+        self.assertEqual(
+            token, world.entries[standby]._holder_role.highest_token
+        )
+
     def test_a_standby_that_reaches_no_control_host_gives_way_to_a_leader(
         self,
     ):
