Takeover: release jobs when the former leader's leases have ended

Cause: jobs that a former leader may have started waited for 1.4 s when an executor didn't answer: the leases, and 0.6 s for a standby that might have extended them until it stopped runs that it didn't know. A standby extends no lease of an executor with such runs, so the 0.6 s were for nothing. Jobs that couldn't start before their answers were worthless were held until then, some until their callers left.

Change: the delay covers the leases only (0.8 s); jobs that it makes worthless are answered once executors have had 0.15 s to list their runs.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -666,11 +666,14 @@
         self._leases.raise_token(token, self.executors.values(), now)
 
     def _give_up_taken_over(self, now: float) -> None:
-        """Answer the taken-over jobs without a run that are too late."""
+        """Answer the taken-over jobs without a run that will be too late."""
         for state in self._job_table.waiting.all_jobs():
             if not state.job.offers or state.is_started:
                 continue
-            if state.is_worthless(now):
+            start_at = now
+            if state.is_taking_over:
+                start_at = self._takeovers.expected_release(state, now)
+            if state.is_worthless(start_at):
                 self._finish(state, work.Outcome.LOST, now, reason="too_late")
 
     def count_closed(self) -> int:
--- a/chervilwheel/workers/takeover.py
+++ b/chervilwheel/workers/takeover.py
@@ -15,8 +15,9 @@
 # A round of polls covers all jobs that were offered before it. The next one
 # begins when all live executors have answered, or after a call's timeout.
 POLL_ROUND_TIMEOUT_S = 0.3
-# Time for repeating a lost stop order with the next renewal.
-STOP_RETRY_MARGIN_S = 0.3
+# Executors answer a poll within milliseconds; one that hasn't answered by then
+# is probably unreachable.
+FIRST_ANSWERS_S = 0.15
 
 
 class Takeovers:
@@ -42,15 +43,15 @@
         self._round_at = 0.0
         self._jobs: list[jobstate.JobState] = []
         self._reports_complete_at = reports_complete_at
+        self._began_at = now
         self._timeout_s = TAKEOVER_TIMEOUT_S + limits.stop_s
-        # A holder without a quorum may have renewed these leases until it
-        # stopped the runs that no job had adopted.
+        # The former holder sent no order after this one began, and no other
+        # holder extends the lease of an executor with runs that it doesn't
+        # know.
         self._leases_end_at = (
             now
             + limits.lease_s / (1 - executors.MAX_CLOCK_DRIFT)
             + executors.LEASE_MARGIN_S
-            + ORPHAN_TIMEOUT_S
-            + STOP_RETRY_MARGIN_S
             + limits.stop_s
         )
 
@@ -91,11 +92,10 @@
         is_inventory_complete = now >= self._reports_complete_at
         released = []
         for state in waiting:
+            listed_since = live_listed_since
             if state.job.is_from_standby:
                 listed_since = all_listed_since
-                ends_at = state.takeover_from + self._timeout_s
-            else:
-                listed_since, ends_at = live_listed_since, self._leases_end_at
+            ends_at = self._leases_end(state)
             are_runs_known = (
                 is_inventory_complete and listed_since > state.takeover_from
             )
@@ -105,3 +105,16 @@
             else:
                 self._jobs.append(state)
         return released
+
+    def expected_release(self, state: jobstate.JobState, now: float) -> float:
+        """Return when a delayed job may start tasks, as far as known."""
+        waited_s = now - max(state.takeover_from, self._began_at)
+        if waited_s < FIRST_ANSWERS_S:
+            return now
+        return max(now, self._leases_end(state))
+
+    def _leases_end(self, state: jobstate.JobState) -> float:
+        """Return when all earlier runs of a job have ended."""
+        if state.job.is_from_standby:
+            return state.takeover_from + self._timeout_s
+        return self._leases_end_at
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -11,6 +11,9 @@
 
 GAP_S = 0.6
 MEASURED_S = 2.0
+# Its answer would count until 0.66 s after the request; half of what is left
+# may pass before the caller hears that it won't come.
+MAX_HOPELESS_WAIT_S = (3 * (1.6 * 0.1 + 0.06) - 0.3) / 2
 # Target: jobs that are late already don't make later ones late. The share is
 # of the value that these earn without the late ones.
 MAX_LOSS = 0.05
@@ -82,6 +85,17 @@
         world.run(jobstate.MAX_USEFUL_OBJECTIVES * objective_s)
         self.assertIs(work.Outcome.LOST, world.outcome(job))
 
+    def test_a_taken_over_job_that_will_be_too_late_is_answered_at_once(self):
+        # Its task may still run on a worker that doesn't answer, until the
+        # lease of that has ended.
+        world = workerworld.World(workers=test_baselines.WORKERS)
+        world.run(4.0)
+        world.net.cut = {next(iter(world.workers))}
+        world.switch_holder(knows_all=True)
+        job = world.submit(tasks=2, work_s=0.1, offers=1, waited_s=0.3)
+        world.run(MAX_HOPELESS_WAIT_S)
+        self.assertIs(work.Outcome.LOST, world.outcome(job))
+
     def test_a_refused_job_does_not_run_when_its_offer_is_repeated(self):
         world = workerworld.World(workers=test_baselines.WORKERS)
         world.run(4.0)
