--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -586,6 +586,8 @@
     ) -> None:
         """Answer a job and stop its remaining runs."""
         answer = work.Answer(state.job.id, outcome, retry_after_ms, reason)
+        if outcome in (work.Outcome.FAILED, work.Outcome.LOST):
+            _log_unsuccessful(state, answer)
         self._job_table.finish(state, answer, now)
         for row in state.tasks:
             for task in row:
@@ -713,6 +715,26 @@
         return counts
 
 
+def _log_unsuccessful(state: jobstate.JobState, answer: work.Answer) -> None:
+    """Log what was counted for a job that ends without being completed."""
+    tasks = [task for row in state.tasks for task in row]
+    _LOG.info(
+        "engine: a job has ended without success",
+        extra={
+            "job": state.job.id,
+            "outcome": answer.outcome.value,
+            "reason": answer.reason,
+            "failures": max((task.failures for task in tasks), default=0),
+            "attempts": state.job.attempts,
+            "losses": max((len(task.losses) for task in tasks), default=0),
+            "crashes": max(
+                (sum(e.is_crash for e in task.losses) for task in tasks),
+                default=0,
+            ),
+        },
+    )
+
+
 def _is_final(answer: work.Answer) -> bool:
     """Return whether a repeated submission gets the same answer again."""
     if answer.outcome is work.Outcome.COMPLETED:
--- a/chervilwheel/workers/losses.py
+++ b/chervilwheel/workers/losses.py
@@ -108,6 +108,7 @@
                 "task": run.task,
                 "run": run.number,
                 "executor": executor.id,
+                "confirmed": bool(run.confirmed_at),
                 "early": loss.is_early,
                 "alone": loss.is_alone,
                 "losses": len(task.losses),
