--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -159,6 +159,85 @@
         self.check_given_up(world, job)
 
 
+class UnprovenCrashTest(testtools.TestCase):
+    """Executors are cut off, and crash when a task's run is over."""
+
+    def submit(self, world):
+        job = world.submit(
+            tasks=1,
+            work_s=2.0,
+            patience_ms=LONG_PATIENCE_MS,
+            target_ms=LONG_PATIENCE_MS,
+        )
+        return job, work.TaskId(job, 0, 0)
+
+    def crash_behind_cut(self, world, names, *, after_s):
+        """Cut workers off and crash them a time after that."""
+        world.net.cut |= names
+        world.run(after_s)
+        for name in names:
+            world.crash(name, restart_s=0.5, is_dark=True)
+        world.run(0.6)
+
+    def test_a_job_is_not_failed_by_crashes_after_the_leases_of_its_runs(self):
+        world = workerworld.World(workers=6)
+        world.run(0.5)
+        job, _ = self.submit(world)
+        for _ in range(3):
+            world.run(0.3)
+            busy = {n for n, m in world.workers.items() if m.running}
+            self.crash_behind_cut(world, busy, after_s=1.3)
+        world.run(30.0)
+        self.assertIsNot(work.Outcome.FAILED, world.outcome(job))
+
+    def test_a_job_is_not_failed_by_crashes_before_its_runs_began(self):
+        world = workerworld.World(workers=6)
+        world.run(0.5)
+        job, task = self.submit(world)
+        world.run(0.3)
+        busy = {n for n, m in world.workers.items() if m.running}
+        for name in busy:
+            world.crash(name, restart_s=0.5)
+        # All others are cut off when the task is to start again.
+        idle = {n for n, m in world.workers.items() if m.is_up}
+        self.crash_behind_cut(world, idle, after_s=1.2)
+        world.run(30.0)
+        self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
+        self.assertEqual(2, world.starts_of[task])
+
+    def test_no_job_is_failed_by_cuts_and_crashes_of_executors(self):
+        for seed in range(SCHEDULES):
+            rng = random.Random(seed)
+            world = workerworld.World(seed=seed, workers=rng.choice([4, 12]))
+            for _ in range(40):
+                world.run(rng.expovariate(4.0))
+                event = rng.random()
+                names = {n for n, m in world.workers.items() if m.is_up}
+                chosen = set(rng.sample(sorted(names), len(names) // 3))
+                if event < 0.1:
+                    world.switch_holder(knows_all=rng.random() < 0.5)
+                elif event < 0.25:
+                    world.net.cut ^= chosen
+                elif event < 0.4:
+                    for name in chosen:
+                        world.crash(
+                            name,
+                            restart_s=rng.uniform(0.2, 2.0),
+                            is_dark=name in world.net.cut,
+                        )
+                else:
+                    world.submit(
+                        tasks=rng.choice([1, 2, 8]),
+                        work_s=rng.choice([0.06, 0.2, 0.9]),
+                        patience_ms=LONG_PATIENCE_MS,
+                        target_ms=LONG_PATIENCE_MS,
+                    )
+            world.net.cut -= {n for n, m in world.workers.items() if m.is_up}
+            world.run(30.0)
+            outcomes = {world.outcome(job) for job in world.jobs}
+            self.assertNotIn(work.Outcome.FAILED, outcomes, seed)
+
+
 class CrashScheduleTest(testtools.TestCase):
     """Random schedules of crashing tasks, holders, cuts and lost answers."""
 
