Engine: a job is failed only after failed ends that executors have listed

Cause: a task under which two executors were lost was given up, and its job failed, once another incarnation answered at both addresses. That shows that the executor crashed, not that the run was on it: it may have ended behind a cut before, or never have begun.

No evidence within a holder's reach tells the two apart, so such a job is now lost (502, reason executors_crashed), like every other one whose outcome isn't known. The bound on starts stays, and so does the same answer to the same submission for 10 s.

--- a/chervilwheel/lossreport.py
+++ b/chervilwheel/lossreport.py
@@ -29,6 +29,7 @@
     NEVER_FITS = "refused: fits no executor"
     HOLDER_LOST = "lost: no next holder in time"
     TOO_LATE = "lost: too late after a change of the holder"
+    CRASHED = "lost: executors crashed under a task"
     LOST = "lost: other reasons"
     FAILED = "failed"
     CANCELLED = "cancelled"
@@ -202,6 +203,7 @@
         return {
             "holder_lost": Cause.HOLDER_LOST,
             "too_late": Cause.TOO_LATE,
+            "executors_crashed": Cause.CRASHED,
         }.get(str(reason), Cause.LOST)
     return Cause.CANCELLED if outcome == "cancelled" else Cause.FAILED
 
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -47,7 +47,9 @@
 
 
 # Reason of answers to jobs with a task under which executors were lost.
-CRASHES = "executors_lost"
+LOSSES = "executors_lost"
+# The same, if the task is given up since the executors have crashed.
+CRASHES = "executors_crashed"
 
 
 class Departure(enum.Enum):
@@ -526,10 +528,14 @@
     def _give_up_crashing(
         self, states: typing.Iterable[jobstate.JobState], now: float
     ) -> None:
-        """Fail jobs with a task that crashes its executors."""
+        """End jobs with a task that may crash its executors.
+
+        They are lost rather than failed: a run may have ended, or may never
+        have begun, when its executor crashed.
+        """
         for state in states:
             if not state.is_finished:
-                self._finish(state, work.Outcome.FAILED, now, reason=CRASHES)
+                self._finish(state, work.Outcome.LOST, now, reason=CRASHES)
 
     def stopped(
         self, order: work.StopOrder, clock_ms: int, now: float
@@ -617,7 +623,7 @@
         self._starter.place(now)
         self._refuser.refuse_overdue(now)
         for state in self._losses.overdue(now):
-            self._finish(state, work.Outcome.LOST, now, reason=CRASHES)
+            self._finish(state, work.Outcome.LOST, now, reason=LOSSES)
         self._job_table.purge(now)
         self._losses.purge()
 
@@ -739,4 +745,4 @@
     """Return whether a repeated submission gets the same answer again."""
     if answer.outcome is work.Outcome.COMPLETED:
         return True
-    return answer.outcome is work.Outcome.FAILED and answer.reason == CRASHES
+    return answer.reason == CRASHES
