Losses: a run that isn't known to have begun counts less as a crash

A task is given up after two crashes under runs whose start was confirmed or listed, or after three of any kind, since the start of a task that crashes its executor may have been carried out and its answer lost. The flag is passed on with the loss; a host of a former version sends none, and its losses count as not known to have begun.

--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -281,6 +281,7 @@
   isAlone @5 :Bool;
   isCrash @6 :Bool;
   bornMs @7 :UInt64;
+  isBegun @8 :Bool;
 }
 
 struct Job {
--- a/chervilwheel/workers/losses.py
+++ b/chervilwheel/workers/losses.py
@@ -22,7 +22,8 @@
 # A run had just begun if its executor was lost this shortly after its start. A
 # crash shows by a refused connection, within a few round trips.
 EARLY_S = 0.05
-# A task is given up after this many crashes, the last of them alone.
+# A task is given up after this many crashes under its runs, one of them
+# alone, or one more if some of the runs may not have begun.
 MAX_CRASHES = 2
 # While an executor may still return, its task isn't started on a third one
 # for this time; a crashed executor is usually back sooner.
@@ -100,6 +101,7 @@
             is_early=is_early(run, executor.unreachable_since or now),
             is_alone=executor.lost_together == 1,
             born_ms=executor.born_ms,
+            is_begun=bool(run.confirmed_at),
         )
         self._add(state, task, loss, now)
         _LOG.info(
@@ -108,7 +110,7 @@
                 "task": run.task,
                 "run": run.number,
                 "executor": executor.id,
-                "confirmed": bool(run.confirmed_at),
+                "confirmed": loss.is_begun,
                 "early": loss.is_early,
                 "alone": loss.is_alone,
                 "losses": len(task.losses),
@@ -286,9 +288,10 @@
 
 def _is_given_up(task: jobstate.Task) -> bool:
     crashes = [each for each in task.losses if each.is_crash]
-    return len(crashes) >= MAX_CRASHES and any(
-        each.is_alone for each in crashes
-    )
+    begun = sum(each.is_begun for each in crashes)
+    # A start whose answer was lost may have crashed its executor too.
+    is_bound_reached = begun >= MAX_CRASHES or len(crashes) > MAX_CRASHES
+    return is_bound_reached and any(each.is_alone for each in crashes)
 
 
 def queues_of_early_runs(
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -84,6 +84,7 @@
 
     :ivar is_early: whether the run had just begun
     :ivar is_alone: whether the executor ran no other task
+    :ivar is_begun: whether the run is known to have begun
     :ivar is_crash: whether the executor is known to have crashed
     :ivar born_ms: start of the incarnation that was lost, 0 if unknown
     """
@@ -96,6 +97,7 @@
     is_alone: bool = False
     is_crash: bool = False
     born_ms: int = 0
+    is_begun: bool = False
 
     @property
     def place(self) -> tuple[int, int]:
