Tests: rejected starts count as crashes, and given-up jobs start anew, known to fail

A start that another incarnation rejects counts as a crash under its task, though the answer shows that the run never began. A job that was given up is answered 502, after which its caller sends it again; the answer is kept for 10 s from the first one.

--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -13,6 +13,8 @@
 from tests import workerworld
 
 LONG_PATIENCE_MS = 60_000
+# A caller that got no clear answer sends its job again after this time.
+RESEND_S = 1.3
 SCHEDULES = 60
 # Twice the workers and the load of the comparison of strategies; a third of
 # the workers are larger by half.
@@ -161,6 +163,19 @@
         world.run(1.0)
         self.check_given_up(world, job)
 
+    def test_a_job_sent_again_for_a_minute_is_not_started_anew(self):
+        world = workerworld.World(workers=12)
+        world.run(0.5)
+        job = self.submit(world, submission=1)
+        world.run(10.0)
+        for submission in range(2, 48):
+            self.check_given_up(world, job)
+            world.answers.clear()
+            # The entry host has forgotten what it knew of the job.
+            world.repeat_offer(job, submission=submission, losses=())
+            world.run(RESEND_S)
+        self.check_given_up(world, job)
+
 
 class UnprovenCrashTest(testtools.TestCase):
     """Executors are cut off, and crash when a task's run is over."""
@@ -208,6 +223,19 @@
         self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
         self.assertEqual(2, world.starts_of[task])
 
+    def test_starts_that_another_incarnation_rejects_give_up_no_job(self):
+        for seed in range(1, 21):
+            world = workerworld.World(workers=8, seed=seed)
+            world.run(0.5)
+            for name in list(world.workers):
+                world.crash(name, restart_s=0.05)
+            # Before the next reports.
+            world.run(0.06)
+            job, task = self.submit(world)
+            world.run(30.0)
+            self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
+            self.assertEqual(1, world.starts_of[task])
+
     def test_no_job_is_failed_by_cuts_and_crashes_of_executors(self):
         for seed in range(SCHEDULES):
             rng = random.Random(seed)
