Engine: a start that another incarnation rejects is no crash under its task

Executors that were idle crash and come back between two reports; the answer 421 to a start, or to the renewal sent with it, removed the executor with all of its runs, the rejected one among them, which was recorded as lost with it and explained as a crash at once.

A rejected run is requeued before its executor is removed. If the renewal is answered first, the run waits for the answer to its order, which comes within the time-out of the call: it is lost if the order was carried out or may have been, and only requeued otherwise.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -120,6 +120,11 @@
             reports_complete_at=reports_complete_at,
             now=now,
         )
+        # Runs of executors that are gone, until their orders are answered.
+        self._departed_starts: dict[
+            tuple[work.ExecutorId, work.TaskId, int],
+            tuple[executors.Executor, executors.Run],
+        ] = {}
         self._closed_zones: frozenset[ids.ZoneId] = frozenset()
         self._cold_rates: dict[ids.ServiceId, warmup.ColdRate] = {}
         self._takeovers = takeover.Takeovers(
@@ -327,6 +332,7 @@
     ) -> None:
         """Process the answer to a start order."""
         self.verdicts[verdict.value] += 1
+        self._answer_departed_start(order, verdict, now)
         executor = self.executors.get(order.executor)
         if executor is None:
             return
@@ -357,6 +363,22 @@
         self._job_table.requeue(run)
         self._starter.place(now)
 
+    def _answer_departed_start(
+        self, order: work.StartOrder, verdict: work.StartVerdict, now: float
+    ) -> None:
+        """Requeue the run of an executor that is gone, maybe as lost."""
+        key = (order.executor, order.task, order.run)
+        executor, run = self._departed_starts.pop(key, (None, None))
+        if executor is None or run is None:
+            return
+        if verdict is work.StartVerdict.STARTED:
+            run.confirm(now)
+        if verdict in (work.StartVerdict.STARTED, work.StartVerdict.UNKNOWN):
+            self._losses.lost(executor, run, now)
+            self._give_up_crashing(self._losses.replaced(executor), now)
+        self._job_table.requeue(run)
+        self._starter.place(now)
+
     def _start_refused(
         self,
         executor: executors.Executor,
@@ -377,6 +399,9 @@
         pause_s = pauses.get(verdict, 0.0)
         executor.unusable_until = max(executor.unusable_until, now + pause_s)
         if verdict is work.StartVerdict.OTHER_LIFE:
+            # Its run never began, so it wasn't lost with the executor.
+            executor.remove_run(run.task)
+            self._job_table.requeue(run)
             self._remove_executor(executor, now, why=Departure.REPLACED)
             return
         if verdict is work.StartVerdict.FENCED:
@@ -576,6 +601,11 @@
         for run in list(executor.runs.values()):
             executor.remove_run(run.task)
             if why is Departure.REPLACED:
+                if run.state is executors.RunState.STARTING:
+                    # The other incarnation may reject the order too.
+                    key = (executor.id, run.task, run.number)
+                    self._departed_starts[key] = (executor, run)
+                    continue
                 self._losses.lost(executor, run, now)
             self._job_table.requeue(run)
         if why is Departure.REPLACED:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -163,6 +163,26 @@
         world.run(1.0)
         self.check_given_up(world, job)
 
+    def test_a_task_whose_starts_are_not_answered_is_given_up(self):
+        for restart_s in (0.02, 0.1, 0.25, 0.5, 2.0):
+            world = workerworld.World(workers=12)
+            sample_delivery = world.net.sample_delivery
+
+            def lose_answers(
+                worker, holder, order, sample_delivery=sample_delivery
+            ):
+                delivery = sample_delivery(worker, holder, order)
+                if isinstance(order, work.StartOrder):
+                    return "unanswered", delivery[1]
+                return delivery
+
+            world.net.sample_delivery = lose_answers
+            world.crash_options = {"restart_s": restart_s}
+            world.run(0.5)
+            job = self.submit(world)
+            world.run(40.0)
+            self.check_given_up(world, job, crashes=3)
+
     def test_a_job_sent_again_for_a_minute_is_not_started_anew(self):
         world = workerworld.World(workers=12)
         world.run(0.5)
