Engine: a given-up job that is sent again stays given up

What callers saw: nothing amiss; executors crashed on. The verdict was kept for 10 s from the first answer, however often it was asked for: then the job was started anew, and two more executors crashed under its task. With a caller that waits for a minute a sixth start came 30 s after the first, three after three crashes (BUDGET).

Each such repetition keeps the answer for another 10 s, so that it is forgotten 10 s after the last.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -259,6 +259,8 @@
                     self._reconciler.adopt(existing, now)
                 return
             if existing.answer and _is_final(existing.answer):
+                # Its caller goes on sending it until it gets a clear answer.
+                self._job_table.keep(existing, now)
                 self._actions.append(existing.answer)
                 return
             if is_repeated and existing.answer:
--- a/chervilwheel/workers/jobtable.py
+++ b/chervilwheel/workers/jobtable.py
@@ -95,6 +95,13 @@
         self._finished[state] = None
         self.waiting.remove(state)
 
+    def keep(self, state: jobstate.JobState, now: float) -> None:
+        """Keep the answer to an ended job for another retention time."""
+        state.ended_at = now
+        # These are in the order of their times.
+        self._finished.pop(state, None)
+        self._finished[state] = None
+
     def unstarted(self) -> list[jobstate.JobState]:
         """List the waiting jobs that no holder has started tasks of."""
         return [
