--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -196,6 +196,19 @@
             world.run(RESEND_S)
         self.check_given_up(world, job)
 
+    def test_a_given_up_job_sent_to_the_next_holders_is_not_started_on(self):
+        world = workerworld.World(workers=12)
+        world.run(0.5)
+        job = self.submit(world, submission=1)
+        for submission in range(2, 6):
+            world.run(10.0)
+            # Two starts after three crashes.
+            self.check_given_up(world, job, crashes=5)
+            world.switch_holder(knows_all=True)
+            world.run(5.0)
+            world.answers.clear()
+            world.repeat_offer(job, submission=submission, losses=())
+
 
 class UnprovenCrashTest(testtools.TestCase):
     """Executors are cut off, and crash when a task's run is over."""
