--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -9,6 +9,7 @@
 from chervilwheel import messages
 from chervilwheel.control import holding
 from chervilwheel.control import runtime
+from chervilwheel.workers import engine
 from chervilwheel.workers import work
 
 _LOG = logging.getLogger("entry")
@@ -245,6 +246,9 @@
         if answer.outcome is work.Outcome.REFUSED and state.offers:
             # A former holder may have started some of the job's tasks.
             answer = answer._replace(outcome=work.Outcome.LOST)
+        if answer.reason == engine.LOSSES:
+            # A holder of the former version calls such a job failed.
+            answer = answer._replace(outcome=work.Outcome.LOST)
         waited_s = self._heap.clock.now() - state.submitted_at
         self._outcomes[answer.outcome.value] += 1
         self._latency.record(waited_s * 1000)
