--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -211,7 +211,7 @@
 
 
 class UnprovenCrashTest(testtools.TestCase):
-    """Executors are cut off, and crash when a task's run is over."""
+    """Executors crash when a task's run is over or hasn't begun."""
 
     def submit(self, world):
         job = world.submit(
