Engine: a run on an executor that leaves is over only with a proof

Cause: the engine took a deregistration for the end of the executor and requeued its runs at once; but it runs them until it has the acknowledgement.

An executor that deregisters is now kept as one that leaves: it gets no start, its lease isn't renewed, and its runs are stopped by order. A run is over when its end is listed, when the lease has lapsed, or when another executor answers at the address. None of this is recorded as a loss, also where the 421 of a successor is the proof.

The same fault in two more places. A new holder, leader or standby, wasn't told of executors that had deregistered before, and so didn't wait for their runs; it is told of them for 10 s now. And a job that comes back from a standby was released once all known executors had listed their runs; one that had left, but whose end wasn't known, was not among them.

A heartbeat that is sent a second after the deregistration brought the executor back. That is meant for a deregistration of a former incarnation, and so holds only for heartbeats that aren't draining any more.

test_invalidreports.py asked that an executor be removed at once. One that hasn't listed its runs is tracked now; the tests ask that no executor in use has the id, and that the tracked one may start nothing even if it had listed them.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -681,15 +681,11 @@
             self.holder_role.send_status(self._status())
 
     def _become_holder(self) -> None:
-        live = [
-            (at, report)
-            for at, report in self._reports.values()
-            if not report.is_gone
-        ]
         self.holder_role.begin(
             fence=tokens.Fence(self.member.term, tokens.LEADER_SIDE),
             reports_complete_at=self._started_at + 2 * self._cfg.heartbeat_s,
-            reports=live,
+            # Those that have deregistered may still run tasks.
+            reports=self._reports.values(),
             may_send_orders=self._may_send_orders,
             closed_zones=self._zone_view.evacuated,
             speed_rows=self._speeds.known(self._heap.clock.now()),
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -276,10 +276,25 @@
         self._holder_role.close_zones(self._zone_watch.closed_zones())
         if self._holder_role.is_active:
             # More zones may share this standby now.
-            shared = self._shared_zones()
-            for _, report in self._reports.values():
-                if report.zone in shared and not report.is_gone:
-                    self._holder_role.report(report)
+            now = self._heap.clock.now()
+            for at, report in self._shared_reports(now):
+                self._holder_role.report(report, age_s=now - at)
+
+    def _shared_reports(
+        self, now: float
+    ) -> list[tuple[float, work.ExecutorReport]]:
+        """List the reports in the zones that share a standby, with times.
+
+        Entry hosts receive reports only on changes, so an old report doesn't
+        mean that its executor is gone. One that has deregistered may still
+        run tasks, for a time.
+        """
+        shared = self._shared_zones()
+        return [
+            (at if report.is_gone else now, report)
+            for at, report in self._reports.values()
+            if report.zone in shared
+        ]
 
     def _may_forward(self, receiver: ids.InstanceId) -> bool:
         """Return whether a host is the leader that this host reaches."""
@@ -388,14 +403,10 @@
     def _maybe_take_over(self, now: float) -> None:
         """Become the standby holder when no leader can be the holder."""
         shared = self._shared_zones()
-        # Entry hosts receive reports only on changes, so an old report
-        # doesn't mean that its executor is gone.
-        reports = [
-            (now, report)
-            for _, report in self._reports.values()
-            if not report.is_gone and report.zone in shared
-        ]
-        can_take_over = self.is_ready and reports
+        reports = self._shared_reports(now)
+        can_take_over = self.is_ready and any(
+            not report.is_gone for _, report in reports
+        )
         if not can_take_over or not self._standby.should_take_over(
             holder_lost_at=self.jobs.holder_lost_at, now=now
         ):
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -182,10 +182,15 @@
         if self._runner is not None:
             self._runner.close_zones(zones)
 
-    def report(self, report: work.ExecutorReport) -> None:
-        """Process an executor's report."""
+    def report(
+        self, report: work.ExecutorReport, *, age_s: float = 0.0
+    ) -> None:
+        """Process an executor's report.
+
+        :param age_s: time since the report arrived, seconds
+        """
         if self._runner is not None:
-            self._runner.report(report)
+            self._runner.report(report, age_s=age_s)
 
     def offer(self, job: work.Job) -> None:
         """Submit a job of this host."""
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -168,7 +168,7 @@
         """
         executor = self.executors.get(report.id)
         if executor is None:
-            if report.is_gone:
+            if report.is_gone and age_s > work.DEPARTURE_RETENTION_S:
                 return
             executor = executors.Executor(
                 report=report,
@@ -185,13 +185,13 @@
             self._add_speed(executor, now)
         elif not executor.accepts(report):
             return
-        elif report.is_gone:
-            self._remove_executor(executor, now, why=Departure.DEREGISTERED)
-            return
         elif report.born_ms > executor.born_ms:
             executor = self._replace_incarnation(
                 executor, report, report.born_ms, report.clock_ms, now
             )
+        if report.is_gone:
+            self._deregister(executor, report, now, age_s=age_s)
+            return
         if report.is_draining and not executor.report.is_draining:
             executor.draining_since = now
         executor.is_closed = report.zone in self._closed_zones
@@ -203,6 +203,34 @@
         executor.update_clock(report.clock_ms, now)
         self._maintain(executor, now)
 
+    def _deregister(
+        self,
+        executor: executors.Executor,
+        report: work.ExecutorReport,
+        now: float,
+        *,
+        age_s: float,
+    ) -> None:
+        """Stop the runs of an executor that leaves.
+
+        It runs them until it has the acknowledgement, which may be lost, so
+        that their tasks wait for a proof that they have ended. The report's
+        clock is an estimate and isn't used.
+        """
+        if not executor.report.is_gone:
+            _LOG.info(
+                "engine: an executor leaves",
+                extra={"executor": executor.id, "runs": len(executor.runs)},
+            )
+        executor.update_report(report)
+        executor.last_report_at = now - age_s
+        self._takeovers.executor_left(now - age_s + work.DEPARTURE_RETENTION_S)
+        self._refuser.executors_changed()
+        for run in executor.runs.values():
+            if run.state is not executors.RunState.STOPPING:
+                self._leases.stop(executor, run, now)
+        self._maintain(executor, now)
+
     def close_zones(
         self, zones: typing.Collection[ids.ZoneId], now: float
     ) -> None:
@@ -377,7 +405,7 @@
         pause_s = pauses.get(verdict, 0.0)
         executor.unusable_until = max(executor.unusable_until, now + pause_s)
         if verdict is work.StartVerdict.OTHER_LIFE:
-            self._remove_executor(executor, now, why=Departure.REPLACED)
+            self._remove_replaced(executor, now)
             return
         if verdict is work.StartVerdict.FENCED:
             executor.is_synced = False
@@ -415,7 +443,7 @@
         if is_current and 0 < answer.born_ms < executor.born_ms:
             answer = work.HoldAnswer(work.HoldVerdict.UNKNOWN)
         if answer.verdict is work.HoldVerdict.OTHER_LIFE:
-            self._remove_executor(executor, now, why=Departure.REPLACED)
+            self._remove_replaced(executor, now)
             return
         has_answered_since = executor.listed_at >= sent_at
         if answer.verdict is work.HoldVerdict.UNKNOWN and (
@@ -552,6 +580,15 @@
             if not run.confirmed_at:
                 self._leases.poll(executor, now)
 
+    def _remove_replaced(
+        self, executor: executors.Executor, now: float
+    ) -> None:
+        """Remove an executor at whose address another one has answered."""
+        why = Departure.REPLACED
+        if executor.report.is_gone:
+            why = Departure.DEREGISTERED
+        self._remove_executor(executor, now, why=why)
+
     def _remove_executor(
         self, executor: executors.Executor, now: float, *, why: "Departure"
     ) -> None:
@@ -629,8 +666,11 @@
 
     def _maintain(self, executor: executors.Executor, now: float) -> None:
         """Drop expired runs or the executor, and renew its lease when due."""
-        if executor.unreachable_since:
+        if executor.unreachable_since or executor.report.is_gone:
             self._drop_expired_runs(executor, now)
+        if _has_left(executor, now):
+            self._remove_executor(executor, now, why=Departure.DEREGISTERED)
+            return
         has_runs = any(run.former is None for run in executor.runs.values())
         if (
             now - executor.last_report_at > EXECUTOR_RETENTION_S
@@ -647,6 +687,7 @@
         self, executor: executors.Executor, now: float
     ) -> None:
         """Requeue the runs of an unreachable executor that have expired."""
+        silent_since = executor.unreachable_since or executor.last_report_at
         for run in self._leases.lapsed(executor, now):
             _LOG.info(
                 "engine: a run's lease has ended",
@@ -654,11 +695,9 @@
                     "task": run.task,
                     "run": run.number,
                     "executor": executor.id,
-                    "silent_s": round(now - executor.unreachable_since, 3),
+                    "silent_s": round(now - silent_since, 3),
                     "confirmed": bool(run.confirmed_at),
-                    "ran_s": round(
-                        executor.unreachable_since - run.ordered_at, 3
-                    ),
+                    "ran_s": round(silent_since - run.ordered_at, 3),
                     "lease_ms": executor.lease_deadline_ms,
                     "order_ms": run.order_deadline_ms,
                     "clock_ms": executor.clock_ms,
@@ -721,6 +760,17 @@
         return counts
 
 
+def _has_left(executor: executors.Executor, now: float) -> bool:
+    """Return whether an executor has deregistered and runs nothing.
+
+    What a former holder ordered there is known once it has listed its runs.
+    """
+    if not executor.report.is_gone or executor.runs:
+        return False
+    left_s = now - executor.last_report_at
+    return executor.listed_at > 0.0 or left_s > work.DEPARTURE_RETENTION_S
+
+
 def _log_unsuccessful(state: jobstate.JobState, answer: work.Answer) -> None:
     """Log what was counted for a job that ends without being completed."""
     tasks = [task for row in state.tasks for task in row]
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -293,6 +293,7 @@
             and not self.is_retrying
             and not self.is_report_due
             and not self.report.is_draining
+            and not self.report.is_gone
             and not self.is_reserved
             and not self.runs_alone
             and not self.is_closed
--- a/chervilwheel/workers/leases.py
+++ b/chervilwheel/workers/leases.py
@@ -112,10 +112,12 @@
         executor.is_renewing = True
         executor.renewal += 1
         executor.renewal_sent_at = now
-        # The lease of an unreachable executor must expire, and so must the
-        # lease of runs that another holder may restart: neither is extended.
+        # The lease of an unreachable executor must expire, and so must that of
+        # one that leaves, and the lease of runs that another holder may
+        # restart: none is extended.
         deadline_ms = 0
-        if not executor.unreachable_since and executor.is_owned:
+        is_leased = executor.is_owned and not executor.report.is_gone
+        if not executor.unreachable_since and is_leased:
             deadline_ms = executor.deadline_ms(now, self.limits.lease_s)
         executor.lease_deadline_ms = max(
             executor.lease_deadline_ms, deadline_ms
@@ -256,8 +258,11 @@
     def lapsed(
         self, executor: executors.Executor, now: float
     ) -> list[executors.Run]:
-        """List the runs of an unreachable executor that must have ended."""
-        if not executor.unreachable_since:
+        """List the runs that must have ended where no lease is extended.
+
+        The executor is unreachable, or leaves.
+        """
+        if not executor.unreachable_since and not executor.report.is_gone:
             return []
         return [
             run
--- a/chervilwheel/workers/takeover.py
+++ b/chervilwheel/workers/takeover.py
@@ -44,6 +44,8 @@
         self._jobs: list[jobstate.JobState] = []
         self._reports_complete_at = reports_complete_at
         self._began_at = now
+        # Until then executors that have left may be used by another holder.
+        self._departures_end_at = 0.0
         self._timeout_s = TAKEOVER_TIMEOUT_S + limits.stop_s
         # The former holder sent no order after this one began, and no other
         # holder extends the lease of an executor with runs that it doesn't
@@ -62,6 +64,13 @@
         """Delay a job until its earlier runs are known."""
         self._jobs.append(state)
 
+    def executor_left(self, used_until: float) -> None:
+        """Reckon with runs of another holder on an executor that isn't listed.
+
+        :param used_until: when it has ended at the latest, seconds
+        """
+        self._departures_end_at = max(self._departures_end_at, used_until)
+
     def release_ready(
         self, all_executors: typing.Collection[executors.Executor], now: float
     ) -> list[jobstate.JobState]:
@@ -95,6 +104,8 @@
             listed_since = live_listed_since
             if state.job.is_from_standby:
                 listed_since = all_listed_since
+                if state.takeover_from < self._departures_end_at:
+                    listed_since = 0.0
             ends_at = self._leases_end(state)
             are_runs_known = (
                 is_inventory_complete and listed_since > state.takeover_from
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -13,6 +13,9 @@
 # A heartbeat that an incarnation sent this much later than its deregistration
 # arrived shows that the deregistration was of a former incarnation.
 DEREGISTRATION_GRACE_MS = 1_000
+# An executor that has deregistered has ended after this time, even if it got
+# no acknowledgement.
+DEPARTURE_RETENTION_S = 10.0
 
 
 class Room(typing.NamedTuple):
@@ -209,6 +212,9 @@
         if self.born_ms != known.born_ms:
             return self.born_ms > known.born_ms
         if known.is_gone and known.born_ms and not self.is_gone:
+            if self.is_draining:
+                # It leaves; it has sent this without an acknowledgement.
+                return False
             return self.clock_ms > known.clock_ms + DEREGISTRATION_GRACE_MS
         return self.sequence >= known.sequence
 
--- a/tests/test_invalidreports.py
+++ b/tests/test_invalidreports.py
@@ -1,5 +1,6 @@
 """Tests of reports and answers of executors that can't be used."""
 
+import dataclasses
 import json
 import logging
 import random
@@ -185,10 +186,19 @@
         }
 
     def executors(self):
-        runner = self.control.holder_role._runner
+        """Return the reports of executors in use.
+
+        One that has deregistered may be tracked until it has listed its runs.
+        """
+        found = self.control.holder_role._runner.engine.executors.values()
+        for executor in found:
+            if executor.report.is_gone:
+                listed = dataclasses.replace(executor, is_synced=True)
+                self.assertFalse(listed.may_start(self.world.clock.now()))
         return {
-            name: executor.report
-            for name, executor in runner.engine.executors.items()
+            executor.id: executor.report
+            for executor in found
+            if not executor.report.is_gone
         }
 
     def good(self, **fields):
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -50,6 +50,11 @@
 # A capacity that has shrunk is to be known after this time, set by the
 # platform: 3 s and a report interval.
 RESIZE_KNOWN_S = 4.5
+# Without an acknowledgement a leaving worker ends this long after it has
+# deregistered.
+UNACKNOWLEDGED_END_S = 3.0
+# A control host has the call of a leaving worker this long after it was sent.
+DEREGISTER_S = 0.001
 # A task that crashes its workers does so this long after its start.
 CRASH_DELAY_S = 0.011
 RESTART_S = 3.2
@@ -147,6 +152,9 @@
         self.addresses = {}
         # Workers that crashed and refuse connections, and their successors.
         self.refusing = {}
+        # Workers that have deregistered, by id and the side of a partition
+        # that knows: when, and the report that the hosts there have stored.
+        self.deregistered = {}
         # Tasks that crash the workers that start them.
         self.crashing = set()
         self.crash_options = {}
@@ -223,8 +231,75 @@
 
     def deliver_report(self, report):
         """Deliver a report to the holder."""
-        self.engine.report(report, self.now)
-        self._execute_actions(self.engine)
+        self._deliver_report(report, self.engine)
+
+    def _deliver_report(self, report, holder):
+        """Deliver a report that a control host doesn't drop."""
+        _, gone = self.deregistered.get(
+            (report.id, self._side_of(holder)), (0.0, None)
+        )
+        if gone is None or report.replaces(gone):
+            holder.report(report, self.now)
+            self._execute_actions(holder)
+
+    def deregister(
+        self,
+        name,
+        *,
+        ack_s=0.001,
+        successor_s=None,
+        copies=(0.0,),
+        sides=("engine", "standby"),
+    ):
+        """Let a worker leave, which works on until it has the answer.
+
+        :param ack_s: when the acknowledgement arrives, None if it never does
+        :param successor_s: when another worker starts at its address after
+            that, None for never
+        :param copies: delays with which holders get the news
+        :param sides: which of them get it
+        """
+        model = self.workers[name]
+        known = self.report_of(name)
+        for delay in copies:
+            self.at(
+                DEREGISTER_S + delay,
+                lambda: self._deliver_deregistration(name, known, sides),
+            )
+        end_s = UNACKNOWLEDGED_END_S if ack_s is None else ack_s
+        self.at(
+            DEREGISTER_S + end_s,
+            lambda: self._end_worker(name, model, successor_s),
+        )
+
+    def _deliver_deregistration(self, name, known, sides):
+        """Tell the holders, as a control host does for the known report."""
+        gone = known._replace(
+            is_draining=True,
+            is_gone=True,
+            sequence=work.LAST_SEQUENCE,
+            # Estimated from a former report, on a clock that may be slow.
+            clock_ms=known.clock_ms + 30,
+        )
+        for side in sides:
+            at, gone = self.deregistered.setdefault(
+                (name, side), (self.now, gone)
+            )
+            holder = getattr(self, side)
+            if holder is not None:
+                holder.report(gone, self.now, age_s=self.now - at)
+                self._execute_actions(holder)
+
+    def _side_of(self, holder):
+        return "standby" if holder is self.standby else "engine"
+
+    def _end_worker(self, name, model, successor_s):
+        if not model.is_up:
+            return
+        model.crash()
+        self.refusing[name] = None
+        if successor_s is not None:
+            self.at(successor_s, lambda: self._restart(name))
 
     def crash(self, name, *, restart_s=RESTART_S, is_dark=False):
         """Crash a worker and start another one at its address.
@@ -345,6 +420,9 @@
         holder.offer(job, self.entry_of[job_id], self.now)
 
     def _send_all_reports(self, holder):
+        for (_, side), (at, gone) in self.deregistered.items():
+            if side == self._side_of(holder):
+                holder.report(gone, self.now, age_s=self.now - at)
         for name in list(self.workers):
             if self.workers[name].is_up:
                 # Other control hosts forwarded its reports earlier.
@@ -495,8 +573,7 @@
         cut = self.net.unreachable_from.get(holder, self.net.cut)
         if name in cut and not is_forwarded:
             return
-        holder.report(self.report_of(name), self.now)
-        self._execute_actions(holder)
+        self._deliver_report(self.report_of(name), holder)
 
     def report_of(self, name):
         """Return the next report of a worker."""
