Engine: runs listed after their job has ended belong to it and are stopped

A new holder has a job in hand, its cancel arrives before the list of the executor that runs a task of it; the run was then adopted by the ended job, and nobody stopped it (RunReconciler._add_orphan asked only whether the job is taken over). A run that is listed for an ended job is now adopted and stopped at once: adopted, so that a request for the id isn't started beside it.

A request that comes again after its job had ended during the take-over started at once, before the list of the former run was there; and so did one whose job is new to the holder, though a run of it is listed as an orphan (its entry host and the former holder lost together). Both wait now as a job that is handed over does.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -293,9 +293,7 @@
                     work.Answer(job.id, work.Outcome.LOST, reason="unsettled")
                 )
                 return
-            if existing.is_started:
-                job = job._replace(offers=job.offers + existing.job.offers + 1)
-            job = job._replace(losses=(*job.losses, *existing.losses))
+        job = self._after_earlier_runs(job, existing)
         self._learn_cold_rate(job)
         state = self._job_table.add(job, entry, now)
         self._losses.offered(state, now)
@@ -311,6 +309,22 @@
             self._starter.place_new(state, now)
             self._refuser.admit(state, now)
 
+    def _after_earlier_runs(
+        self, job: work.Job, existing: jobstate.JobState | None
+    ) -> work.Job:
+        """Return a job that waits for its earlier runs, if it may have any.
+
+        :param existing: the ended job with its id, if there is one
+        """
+        if existing is None:
+            if not job.offers and self._reconciler.has_orphans(job.id):
+                # Another entry host had offered it to a former holder.
+                return job._replace(offers=1)
+            return job
+        if existing.is_started or existing.is_taking_over:
+            job = job._replace(offers=job.offers + existing.job.offers + 1)
+        return job._replace(losses=(*job.losses, *existing.losses))
+
     def cancel(
         self,
         job: ids.JobId,
@@ -405,7 +419,7 @@
         pause_s = pauses.get(verdict, 0.0)
         executor.unusable_until = max(executor.unusable_until, now + pause_s)
         if verdict is work.StartVerdict.OTHER_LIFE:
-            self._remove_replaced(executor, now)
+            self._remove_executor(executor, now, why=Departure.REPLACED)
             return
         if verdict is work.StartVerdict.FENCED:
             executor.is_synced = False
@@ -443,7 +457,7 @@
         if is_current and 0 < answer.born_ms < executor.born_ms:
             answer = work.HoldAnswer(work.HoldVerdict.UNKNOWN)
         if answer.verdict is work.HoldVerdict.OTHER_LIFE:
-            self._remove_replaced(executor, now)
+            self._remove_executor(executor, now, why=Departure.REPLACED)
             return
         has_answered_since = executor.listed_at >= sent_at
         if answer.verdict is work.HoldVerdict.UNKNOWN and (
@@ -580,19 +594,13 @@
             if not run.confirmed_at:
                 self._leases.poll(executor, now)
 
-    def _remove_replaced(
-        self, executor: executors.Executor, now: float
-    ) -> None:
-        """Remove an executor at whose address another one has answered."""
-        why = Departure.REPLACED
-        if executor.report.is_gone:
-            why = Departure.DEREGISTERED
-        self._remove_executor(executor, now, why=why)
-
     def _remove_executor(
         self, executor: executors.Executor, now: float, *, why: "Departure"
     ) -> None:
         """Remove an executor that has ended, and requeue its runs."""
+        if executor.report.is_gone:
+            # It left as planned, also if a successor's answer shows that.
+            why = Departure.DEREGISTERED
         executor.is_gone = True
         executor.on_free_changed = self._free_index.remove
         self._free_index.remove(executor)
--- a/chervilwheel/workers/reconciler.py
+++ b/chervilwheel/workers/reconciler.py
@@ -119,8 +119,12 @@
         executor.add_run(run)
         self._orphans = None
         state = self._job_table.jobs.get(row.task.job)
-        if state is not None and state.is_taking_over:
+        if state is None:
+            return
+        if state.is_taking_over or state.is_finished:
             self._adopt_run(state, executor, run)
+        if state.is_finished:
+            self._leases.stop(executor, run, now)
 
     def _update_run(
         self,
@@ -253,6 +257,15 @@
         for task in self._job_table.orphan_completions(state.job.id):
             self._complete_task(state, task, now)
 
+    def has_orphans(self, job: ids.JobId) -> bool:
+        """Return whether a job has runs that another holder has ordered."""
+        return any(
+            run.is_orphan and run.task.job == job
+            for name in self._executors_with_orphans(job)
+            if name in self._executors
+            for run in self._executors[name].runs.values()
+        )
+
     def _executors_with_orphans(
         self, job: ids.JobId
     ) -> typing.Collection[work.ExecutorId]:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -99,6 +99,52 @@
         world.run(0.3)
         self.assertEqual(0, sum(m.used_cpu for m in world.workers.values()))
 
+    def end_during_takeover(self, outcome):
+        """End a job before the new holder knows its run.
+
+        :returns: the world, the job and the worker that runs its task
+        """
+        world = workerworld.World(workers=3)
+        world.run(4.0)
+        job = world.submit(tasks=1, work_s=5.0, patience_ms=60_000)
+        world.run(0.3)
+        (busy,) = [n for n, m in world.workers.items() if m.running]
+        world.net.cut.add(busy)
+        world.switch_holder(knows_all=True)
+        world.run(0.05)
+        world.cancel(job, outcome)
+        world.net.cut.clear()
+        return world, job, world.workers[busy]
+
+    def test_a_run_listed_after_its_job_was_cancelled_is_stopped(self):
+        world, _, model = self.end_during_takeover(work.Outcome.CANCELLED)
+        world.run(1.0)
+        self.assertEqual(0, model.used_cpu)
+
+    def test_a_job_sent_again_waits_for_runs_that_are_not_listed_yet(self):
+        world, job, _ = self.end_during_takeover(work.Outcome.LOST)
+        world.answers.clear()
+        world.repeat_offer(
+            job, offers=0, submission=2, target_ms=60_000, patience_ms=60_000
+        )
+        world.run(8.0)
+        self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
+
+    def test_a_job_sent_to_another_entry_host_adopts_its_orphaned_run(self):
+        # Its entry host and the holder were lost together.
+        world = workerworld.World(workers=3)
+        world.run(4.0)
+        job = world.submit(tasks=1, work_s=2.0, patience_ms=60_000)
+        world.run(0.3)
+        sent = world.jobs.pop(job)
+        world.switch_holder(knows_all=True)
+        world.run(0.1)
+        world.jobs[job] = sent
+        world.repeat_offer(job, target_ms=60_000)
+        world.run(4.0)
+        self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
+        self.assertEqual(1, sum(m.starts for m in world.workers.values()))
+
     def test_a_job_of_a_silent_entry_host_is_lost_not_cancelled(self):
         world = workerworld.World()
         job = world.submit(tasks=2, work_s=0.5)
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -503,9 +503,9 @@
         self.engine.offer(job, self.entry_of[job_id], self.now)
         self._execute_actions(self.engine)
 
-    def cancel(self, job_id):
+    def cancel(self, job_id, outcome=work.Outcome.CANCELLED):
         """Cancel a job."""
-        self.engine.cancel(job_id, self.now)
+        self.engine.cancel(job_id, self.now, outcome)
         self._execute_actions(self.engine)
 
     def outcome(self, job_id):
