Control hosts: acknowledge a deregistration once runs can be stopped

The acknowledgement now follows 0.1 s after the time that an executor takes to end a run, 0.5 s at most; executors wait a second for it. In that time the holder, on whichever host, stops the runs and gets their ends.

Tests over links show that the next leader and a standby wait for the lease of an executor that deregistered before they began.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -46,6 +46,12 @@
 MAX_REPORT_AGE_S = 60.0
 # Below the 1 s that the operator's client waits for an answer.
 OPERATOR_TIMEOUT_S = 0.9
+# An executor that leaves ends with the acknowledgement. Before, its runs can
+# be stopped, and their tasks start again once it has listed the ends; later
+# only when the leases have lapsed. Time for that beside the stop itself.
+DEREGISTRATION_LIST_S = 0.1
+# Executors wait a second for the acknowledgement.
+MAX_DEREGISTRATION_ACK_S = 0.5
 # A restart replays what is not compacted; a change takes some 500 bytes.
 COMPACT_BYTES = 128 * 1024
 LEADERSHIP_TRANSFER_S = 1.0
@@ -190,11 +196,19 @@
                 message = messages.ExecutorNews((report,))
                 self._node.links.send(name, message)
 
-    def deregister(self, executor: work.ExecutorId) -> None:
+    def deregister(
+        self, executor: work.ExecutorId, done: typing.Callable[[], None]
+    ) -> None:
         """Process the deregistration of an executor, if it is known.
 
         It is meant for the incarnation that is known now.
+
+        :param done: called when its runs have had time to be stopped
         """
+        ack_s = min(
+            MAX_DEREGISTRATION_ACK_S, self._cfg.stop_s + DEREGISTRATION_LIST_S
+        )
+        self._heap.call_later(ack_s, done)
         at, known = self._reports.get(executor, (0.0, None))
         if known is None or known.is_gone:
             return
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -20,6 +20,8 @@
 
 # The target: what a host costs hardly grows with the number of hosts.
 MAX_GROWTH = 1.1
+# How long executors of the simulated site take to end a run.
+STOP_S = 0.05
 SECONDS = 10.0
 
 
@@ -122,6 +124,37 @@
         self._answer(lambda: done(unknown))
 
 
+class LeavingPort(AnsweringPort):
+    """Executors whose runs don't end; some answer nothing.
+
+    :param runs: the tasks on each executor, shared by the ports of all hosts
+    :param unreachable: executors that answer nothing, shared likewise
+    """
+
+    def __init__(self, heap, *, runs, unreachable):
+        super().__init__(heap)
+        self._runs = runs
+        self._unreachable = unreachable
+
+    def start(self, order, done):
+        """Accept a run."""
+        self._runs.setdefault(order.executor, []).append(
+            work.RunStatus(order.task, order.run, 1)
+        )
+        super().start(order, done)
+
+    def hold(self, order, done):
+        """List the runs."""
+        if order.executor in self._unreachable:
+            return
+        answer = work.HoldAnswer(
+            work.HoldVerdict.HELD,
+            self._clock_ms(),
+            tuple(self._runs.get(order.executor, ())),
+        )
+        self._answer(lambda: done(answer))
+
+
 class HostsTest(testtools.TestCase):
     """Base class of tests with several hosts."""
 
@@ -287,6 +320,68 @@
         self.assertEqual(2, len(crashed))
 
 
+class LeavingExecutorTest(HostsTest):
+    """An executor deregisters with a run, and then the holder is lost."""
+
+    def lose_holder(self, *, stops):
+        """Return how long after that the task is started again, seconds.
+
+        :param stops: chooses the control hosts that are stopped
+        """
+        runs, unreachable = {}, set()
+        world = self.world(
+            entries=2,
+            make_port=lambda heap: LeavingPort(
+                heap, runs=runs, unreachable=unreachable
+            ),
+        )
+        self.report_executors(world, by_zone=4)
+        entry = next(iter(world.entries.values()))
+        step = work.Step(1, work.Room(8_000, 64), 5_000)
+        entry.jobs.submit(job()._replace(steps=(step,)), lambda _answer: None)
+        world.run(0.3)
+        ((name, _),) = runs.items()
+        unreachable.add(name)
+        control = world.controls[world.holder()]
+        control.deregister(name, lambda: None)
+        # The news reach the other hosts.
+        world.run(0.05)
+        for host in stops(world):
+            world.stop(host)
+        lost_at = world.clock.now()
+        while len(runs) < 2 and world.clock.now() < lost_at + 10.0:
+            world.run(0.01)
+        return world.clock.now() - lost_at
+
+    def check(self, wait_s):
+        # From the last renewal; the latter is not extended any more.
+        self.assertGreater(wait_s, leases.LEASE_S)
+        self.assertLess(wait_s, 10.0)
+
+    def test_the_next_leader_waits_for_the_lease_of_its_runs(self):
+        wait_s = self.lose_holder(stops=lambda world: [world.holder()])
+        self.check(wait_s)
+
+    def test_a_standby_waits_for_the_lease_of_its_runs(self):
+        wait_s = self.lose_holder(stops=lambda world: list(world.controls))
+        self.check(wait_s)
+
+    def test_the_acknowledgement_leaves_time_to_stop_the_runs(self):
+        world = self.world(entries=1)
+        self.report_executors(world, by_zone=1)
+        control = world.controls[world.holder()]
+        for name in ("x-north-0", "x-unknown"):
+            acked = []
+            control.deregister(
+                work.ExecutorId(name), lambda acked=acked: acked.append(True)
+            )
+            world.run(STOP_S + 0.05)
+            self.assertEqual([], acked)
+            # The executor would ask another host after a second.
+            world.run(0.5)
+            self.assertEqual([True], acked)
+
+
 class StandbyTest(HostsTest):
     """Entry hosts take over the executors without any control host."""
 
--- a/tests/test_invalidreports.py
+++ b/tests/test_invalidreports.py
@@ -11,6 +11,7 @@
 from chervilwheel import guard
 from chervilwheel import ids
 from chervilwheel import metrics
+from chervilwheel.control import controlhost
 from chervilwheel.control import documents
 from chervilwheel.http import client
 from chervilwheel.workers import work
@@ -178,6 +179,9 @@
     def post(self, body, *, name="i-1", action="heartbeat"):
         exchange = Exchange(f"/v1/instances/{name}/{action}", body)
         self.api.handle(exchange)
+        if action == "deregister" and exchange.response is None:
+            # It is acknowledged later, so that runs can be stopped before.
+            self.world.run(controlhost.MAX_DEREGISTRATION_ACK_S)
         self.assertEqual(200, exchange.response.status)
 
     def known(self):
