Control hosts: a late deregistration of a former incarnation is dropped

What callers saw, by a test: a deregistration that arrived after its executor had started again under the same id took the new incarnation out of use for a heartbeat, and its runs, which are now stopped by order, were lost. The body names the start of the incarnation that leaves; an earlier one than the known is dropped. Without that field, or where it can't be read, the deregistration is obeyed as before.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -197,13 +197,19 @@
                 self._node.links.send(name, message)
 
     def deregister(
-        self, executor: work.ExecutorId, done: typing.Callable[[], None]
+        self,
+        executor: work.ExecutorId,
+        done: typing.Callable[[], None],
+        *,
+        born_ms: int = 0,
     ) -> None:
         """Process the deregistration of an executor, if it is known.
 
-        It is meant for the incarnation that is known now.
+        It is meant for the incarnation that is known now, unless it is
+        known to be of a former one.
 
         :param done: called when its runs have had time to be stopped
+        :param born_ms: start of the incarnation that leaves, 0 if unknown
         """
         ack_s = min(
             MAX_DEREGISTRATION_ACK_S, self._cfg.stop_s + DEREGISTRATION_LIST_S
@@ -212,6 +218,8 @@
         at, known = self._reports.get(executor, (0.0, None))
         if known is None or known.is_gone:
             return
+        if 0 < born_ms < known.born_ms:
+            return
         elapsed_ms = (self._heap.clock.now() - at) * 1000
         self.report(
             known._replace(
--- a/tests/test_invalidreports.py
+++ b/tests/test_invalidreports.py
@@ -273,6 +273,27 @@
             self.assertIn(name, self.executors())
             self.assertFalse(self.known()[name].is_gone)
 
+    def test_a_late_deregistration_of_a_former_incarnation_is_dropped(self):
+        self.post(self.good())
+        body = json.dumps({"born": BORN_MS - 9}).encode()
+        self.post(body, action="deregister")
+        self.assertIn("i-1", self.executors())
+        self.assertFalse(self.known()["i-1"].is_gone)
+
+    def test_a_deregistration_is_obeyed_whatever_its_body_says(self):
+        bodies = (
+            b"{}",
+            b"\xff",
+            b'{"born":"x"}',
+            json.dumps({"born": BORN_MS}).encode(),
+            json.dumps({"born": BORN_MS + 9}).encode(),
+        )
+        for number, body in enumerate(bodies):
+            name = f"i-{number}"
+            self.post(self.good(), name=name)
+            self.post(body, name=name, action="deregister")
+            self.assertNotIn(name, self.executors())
+
     def test_all_hosts_keep_the_report_of_the_later_incarnation(self):
         self.post(self.good(sequence=900))
         self.world.run(0.5)
