Tests: departures beside executors that start again under their ids

The random schedules of departures restart executors under their ids, and a deregistration that arrives late is meant for the incarnation that is known then.

--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -247,11 +247,9 @@
 def play(seed, kind=engine.Engine):
     """Run a random schedule of departures; all jobs must be answered."""
     rng = random.Random(seed)
+    has_lives = rng.random() < 0.3
     world = workerworld.World(
-        seed=seed,
-        workers=6,
-        engine_class=kind,
-        reports_born=rng.random() < 0.3,
+        seed=seed, workers=6, engine_class=kind, reports_born=has_lives
     )
     world.net.response_loss_rate = rng.choice((0.0, 0.03, 0.1))
     world.net.late_delivery_rate = rng.choice((0.0, 0.03, 0.1))
@@ -269,7 +267,7 @@
                 else workerworld.ENTRY,
             )
         else:
-            disturb(world, rng, leaving)
+            disturb(world, rng, leaving, has_lives=has_lives)
         world.run(rng.uniform(0.0, 0.3))
     world.heal()
     world.close_zones()
@@ -281,10 +279,11 @@
         raise AssertionError(f"seed {seed}: no answer for {undecided}")
 
 
-def disturb(world, rng, leaving):
+def disturb(world, rng, leaving, *, has_lives):
     """Let a worker leave, or release runs in another way.
 
     :param leaving: workers that leave or have crashed
+    :param has_lives: whether workers start again under their ids
     """
     names = [
         n for n, m in world.workers.items() if m.is_up and n not in leaving
@@ -300,6 +299,10 @@
     elif draw < 0.65:
         cut_off(world, rng, name)
     elif draw < 0.7:
+        if has_lives and rng.random() < 0.7:
+            down_s = rng.choice((0.005, 0.1, 1.0))
+            world.restart_under_id(name, down_s=down_s)
+            return
         leaving.add(name)
         world.crash(name, restart_s=rng.uniform(0.1, 3.0))
         world.add_worker()
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -260,11 +260,10 @@
         :param sides: which of them get it
         """
         model = self.workers[name]
-        known = self.report_of(name)
         for delay in copies:
             self.at(
                 DEREGISTER_S + delay,
-                lambda: self._deliver_deregistration(name, known, sides),
+                lambda: self._deliver_deregistration(name, sides),
             )
         end_s = UNACKNOWLEDGED_END_S if ack_s is None else ack_s
         self.at(
@@ -272,8 +271,12 @@
             lambda: self._end_worker(name, model, successor_s),
         )
 
-    def _deliver_deregistration(self, name, known, sides):
-        """Tell the holders, as a control host does for the known report."""
+    def _deliver_deregistration(self, name, sides):
+        """Tell the holders, as a control host does for the known report.
+
+        It is meant for the incarnation that is known then.
+        """
+        known = self.report_of(name)
         gone = known._replace(
             is_draining=True,
             is_gone=True,
@@ -282,9 +285,11 @@
             clock_ms=known.clock_ms + 30,
         )
         for side in sides:
-            at, gone = self.deregistered.setdefault(
-                (name, side), (self.now, gone)
-            )
+            at, earlier = self.deregistered.get((name, side), (0.0, None))
+            if earlier is None or gone.born_ms > earlier.born_ms:
+                at, earlier = self.now, gone
+                self.deregistered[name, side] = at, gone
+            gone = earlier
             holder = getattr(self, side)
             if holder is not None:
                 holder.report(gone, self.now, age_s=self.now - at)
