--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -172,7 +172,7 @@
         """
         executor = self.executors.get(report.id)
         if executor is None:
-            if report.is_gone:
+            if report.is_gone and age_s > work.DEPARTURE_RETENTION_S:
                 return
             executor = executors.Executor(
                 report=report,
@@ -189,13 +189,13 @@
             self._add_speed(executor, now)
         elif not executor.accepts(report):
             return
-        elif report.is_gone:
-            self._remove_executor(executor, now, why=Departure.DEREGISTERED)
-            return
         elif report.born_ms > executor.born_ms:
             executor = self._replace_incarnation(
                 executor, report, report.born_ms, report.clock_ms, now
             )
+        if report.is_gone:
+            self._deregister(executor, report, now, age_s=age_s)
+            return
         if report.is_draining and not executor.report.is_draining:
             executor.draining_since = now
         executor.is_closed = report.zone in self._closed_zones
@@ -207,6 +207,34 @@
         executor.clock.record_report(report.clock_ms, now, age_s=age_s)
         self._maintain(executor, now)
 
+    def _deregister(
+        self,
+        executor: executors.Executor,
+        report: work.ExecutorReport,
+        now: float,
+        *,
+        age_s: float,
+    ) -> None:
+        """Stop the runs of an executor that leaves.
+
+        It runs them until it has the acknowledgement, which may be lost, so
+        that their tasks wait for a proof that they have ended. The report's
+        clock is an estimate and isn't used.
+        """
+        if not executor.report.is_gone:
+            _LOG.info(
+                "engine: an executor leaves",
+                extra={"executor": executor.id, "runs": len(executor.runs)},
+            )
+        executor.update_report(report)
+        executor.last_report_at = now - age_s
+        self._takeovers.executor_left(now - age_s + work.DEPARTURE_RETENTION_S)
+        self._refuser.executors_changed()
+        for run in executor.runs.values():
+            if run.state is not executors.RunState.STOPPING:
+                self._leases.stop(executor, run, now)
+        self._maintain(executor, now)
+
     def close_zones(
         self, zones: typing.Collection[ids.ZoneId], now: float
     ) -> None:
@@ -271,9 +299,7 @@
                     work.Answer(job.id, work.Outcome.LOST, reason="unsettled")
                 )
                 return
-            if existing.is_started:
-                job = job._replace(offers=job.offers + existing.job.offers + 1)
-            job = job._replace(losses=(*job.losses, *existing.losses))
+        job = self._after_earlier_runs(job, existing)
         self._learn_cold_rate(job)
         state = self._job_table.add(job, entry, now)
         self._losses.offered(state, now)
@@ -289,6 +315,22 @@
             self._starter.place_new(state, now)
             self._refuser.admit(state, now)
 
+    def _after_earlier_runs(
+        self, job: work.Job, existing: jobstate.JobState | None
+    ) -> work.Job:
+        """Return a job that waits for its earlier runs, if it may have any.
+
+        :param existing: the ended job with its id, if there is one
+        """
+        if existing is None:
+            if not job.offers and self._reconciler.has_orphans(job.id):
+                # Another entry host had offered it to a former holder.
+                return job._replace(offers=1)
+            return job
+        if existing.is_started or existing.is_taking_over:
+            job = job._replace(offers=job.offers + existing.job.offers + 1)
+        return job._replace(losses=(*job.losses, *existing.losses))
+
     def cancel(
         self,
         job: ids.JobId,
@@ -609,6 +651,9 @@
         self, executor: executors.Executor, now: float, *, why: "Departure"
     ) -> None:
         """Remove an executor that has ended, and requeue its runs."""
+        if executor.report.is_gone:
+            # It left as planned, also if a successor's answer shows that.
+            why = Departure.DEREGISTERED
         executor.is_gone = True
         executor.on_free_changed = self._free_index.remove
         self._free_index.remove(executor)
@@ -687,8 +732,11 @@
 
     def _maintain(self, executor: executors.Executor, now: float) -> None:
         """Drop expired runs or the executor, and renew its lease when due."""
-        if executor.unreachable_since:
+        if executor.unreachable_since or executor.report.is_gone:
             self._drop_expired_runs(executor, now)
+        if _has_left(executor, now):
+            self._remove_executor(executor, now, why=Departure.DEREGISTERED)
+            return
         has_runs = any(run.former is None for run in executor.runs.values())
         if (
             now - executor.last_report_at > EXECUTOR_RETENTION_S
@@ -705,6 +753,7 @@
         self, executor: executors.Executor, now: float
     ) -> None:
         """Requeue the runs of an unreachable executor that have expired."""
+        silent_since = executor.unreachable_since or executor.last_report_at
         for run in self._leases.lapsed(executor, now):
             _LOG.info(
                 "engine: a run's lease has ended",
@@ -712,11 +761,9 @@
                     "task": run.task,
                     "run": run.number,
                     "executor": executor.id,
-                    "silent_s": round(now - executor.unreachable_since, 3),
+                    "silent_s": round(now - silent_since, 3),
                     "confirmed": bool(run.confirmed_at),
-                    "ran_s": round(
-                        executor.unreachable_since - run.ordered_at, 3
-                    ),
+                    "ran_s": round(silent_since - run.ordered_at, 3),
                     "lease_ms": executor.lease_deadline_ms,
                     "order_ms": run.order_deadline_ms,
                     "clock_ms": int(executor.clock.lower_ms(now)),
@@ -779,6 +826,17 @@
         return counts
 
 
+def _has_left(executor: executors.Executor, now: float) -> bool:
+    """Return whether an executor has deregistered and runs nothing.
+
+    What a former holder ordered there is known once it has listed its runs.
+    """
+    if not executor.report.is_gone or executor.runs:
+        return False
+    left_s = now - executor.last_report_at
+    return executor.listed_at > 0.0 or left_s > work.DEPARTURE_RETENTION_S
+
+
 def _log_unsuccessful(state: jobstate.JobState, answer: work.Answer) -> None:
     """Log what was counted for a job that ends without being completed."""
     tasks = [task for row in state.tasks for task in row]
