Standby: a holder that executors fence off gives up and refuses at once

Seen: two entry hosts that didn't know each other (the core was lost within 0.3 s of their start) both became the standby holder.

Cause: only a leader acts on a refusal for its token. Control hosts name entry hosts to each other every 0.3 s only, and nobody else names them.

- A standby that no executor obeys, while some obey another holder, waits 0.2 s for a status and then ends its role.
Jobs of which no run has begun (a start order that executors refused doesn't count as one) are refused, the others handed on as after any loss of a holder.
New jobs are refused at once, there and on the entry hosts that followed it (EntryBeat.isFenced).
- The other holder can't be found from a refusal, which names no token.
The host tries again after 20 s, then twice as long each time to 640 s, since the other one may have ended; each try costs the other its runs.
- A control host names up to four others to an entry host at its first heartbeat.
An entry host contacts the standby that a heartbeat names, and the sender of a heartbeat that it didn't know.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -1,5 +1,6 @@
 """A control host: a replica of the document's log and potential holder."""
 
+import heapq
 import logging
 import pathlib
 import random
@@ -42,6 +43,7 @@
 STATUS_INTERVAL_S = 0.15
 # Many entry hosts join at the same time.
 ENTRY_NEWS_INTERVAL_S = 0.3
+INTRODUCED_ENTRIES = 4
 # A standby holder, which has no quorum, may hold an executor for this long.
 MAX_REPORT_AGE_S = 60.0
 # Below the 1 s that the operator's client waits for an answer.
@@ -481,6 +483,7 @@
         if is_new:
             reports = tuple(each for _, each in self._reports.values())
             link.send(messages.ExecutorNews(reports))
+            self._introduce(link, message.zone)
         # The holder sends its status periodically, the same to all.
         is_periodic = self.holder_role.is_active and not message.is_probe
         if is_new or not is_periodic:
@@ -488,6 +491,22 @@
         if is_new or previous.zone != message.zone:
             self._is_entry_news_due = True
 
+    def _introduce(self, link: peers.MessageLink, zone: ids.ZoneId) -> None:
+        """Tell a new entry host of a few that share its standby.
+
+        They would not find each other if all control hosts were lost before
+        the next news.
+        """
+        shared = self._standby_zones.shared_with(zone)
+        known = (
+            messages.EntryPeer(name, entry_link.zone)
+            for name, entry_link in self.holder_role.entries.items()
+            if name != link.peer and entry_link.zone in shared
+        )
+        # Standbys are chosen by the lowest name.
+        first = heapq.nsmallest(INTRODUCED_ENTRIES, known)
+        link.send(messages.EntryNews(tuple(first), ()))
+
     def _send_entry_news(self) -> None:
         """Tell the entry hosts which ones share a standby, after a change."""
         if not self._is_entry_news_due:
--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -95,6 +95,11 @@
         self.engine.end_entry_jobs(entry, self._now())
         self.execute_actions()
 
+    def refuse_unstarted(self, *, reason: str) -> None:
+        """Refuse the jobs of which no holder has begun a run."""
+        self.engine.refuse_unstarted(self._now(), reason=reason)
+        self.execute_actions()
+
     def execute_actions(self) -> None:
         """Execute all actions that the engine has queued."""
         while True:
@@ -179,10 +184,14 @@
         """Replace a token that an executor fenced off with a higher one.
 
         The executor has seen the token of a standby holder. Only the
-        leader does this, and only while its leader lease is valid.
+        leader does this, and only while its leader lease is valid: two
+        standbys that don't know each other would take turns.
         """
-        is_leader = self._fence.side == tokens.LEADER_SIDE
-        if not is_leader or not self._may_send_orders():
+        if self._fence.side != tokens.LEADER_SIDE:
+            if fenced_token == self.engine.token:
+                self.engine.check_fences(self._now())
+            return
+        if not self._may_send_orders():
             return
         if fenced_token == self.engine.token and self._bump < tokens.MAX_BUMP:
             self._use_bump(self._bump + 1)
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -40,6 +40,9 @@
 CONTROL_REPLY_TIMEOUT_S = 0.1
 # Control hosts answer a heartbeat within a few milliseconds.
 QUORUM_REPLY_S = 0.03
+# A standby holder that all executors have fenced off waits this long for the
+# status of another holder, which is sent every 0.15 s.
+FENCED_WAIT_S = 0.2
 # Links to entry hosts are closed this long after the last message.
 ENTRY_LINK_UNUSED_S = 2.0
 # Above the number of executor incarnations that a zone has in a day.
@@ -112,6 +115,7 @@
         self._holder_seen_at = 0.0
         self._control_seen_at = 0.0
         self._suspect_since: float | None = None
+        self._fenced_since: float | None = None
         self._counts: dict[str, int] = {}
         self._heartbeats_sent = 0
         node.metrics.register(
@@ -180,6 +184,7 @@
         holder = self.jobs.holder
         if holder is not None and holder.host != self._me:
             self._check_silence(holder, now)
+        self._check_fence(now)
         if self.jobs.holder is None:
             # Discovery comes first: two standbys would fence each other.
             self._should_discover(now)
@@ -208,6 +213,26 @@
         elif silent_s > HOLDER_TIMEOUT_S:
             self._clear_holder("silent")
 
+    def _check_fence(self, now: float) -> None:
+        """Stop being a standby holder when no executor obeys it any more.
+
+        Another holder has the executors. Unless it can be found, callers are
+        sent to other entry hosts at once.
+        """
+        if not self._holder_role.is_fenced_off:
+            self._fenced_since = None
+        elif self._fenced_since is None:
+            self._fenced_since = now
+            self._send_to(self._control_hosts | self._standby_peers())
+        elif now - self._fenced_since >= FENCED_WAIT_S:
+            self._standby.record_fenced(now)
+            self._holder_role.refuse_unstarted(reason="fenced")
+            self._holder_role.end("fenced")
+            self._clear_holder("fenced")
+            # The hosts that followed it look for another holder.
+            self._holder_role.send_status(self._status())
+        self.jobs.is_fenced = self._standby.is_fenced(now)
+
     def _heartbeat_receivers(self, now: float) -> set[ids.InstanceId]:
         """Return the hosts that receive the next heartbeat."""
         holder = self.jobs.holder
@@ -269,6 +294,7 @@
             evacuated=tuple(sorted(self._zone_watch.view.evacuated)),
             stamp=now,
             has_quorum=self._standby.can_elect(now),
+            is_fenced=self._standby.was_fenced(now),
         )
 
     def _on_zones_changed(self) -> None:
@@ -335,7 +361,8 @@
         if heartbeat.has_leader:
             self._reach_leader(heartbeat.holder, link.peer, now)
             return
-        self._entry_zones[link.peer] = heartbeat.zone
+        self._entry_zones[self._node.add_host(link.peer)] = heartbeat.zone
+        self._learn_standby(heartbeat)
         if self._zone_watch.is_witness(link.peer, self._shared_zones()):
             return
         self._holder_role.record_entry(
@@ -344,6 +371,9 @@
         self._holder_role.record_token(heartbeat.token)
         if heartbeat.zone in self._shared_zones():
             self._standby.record_heartbeat(link.peer, now)
+            self._standby.record_peer_fence(
+                link.peer, now, is_fenced=heartbeat.is_fenced
+            )
         if self._holder_role.is_active:
             if heartbeat.holder == self._me:
                 self._holder_role.raise_token_above(heartbeat.token)
@@ -353,6 +383,18 @@
         if reply.has_leader and heartbeat.holder != reply.holder:
             link.send(self._zone_watch.with_echo(reply, link.peer))
 
+    def _learn_standby(self, heartbeat: messages.EntryBeat) -> None:
+        """Contact the standby holder that another entry host follows.
+
+        Without control hosts nobody else names it.
+        """
+        holder = heartbeat.holder
+        is_known = holder in self._entry_zones or holder in self._control_hosts
+        if holder in ("", self._me) or is_known:
+            return
+        if heartbeat.zone in self._shared_zones():
+            self._entry_zones[self._node.add_host(holder)] = heartbeat.zone
+
     def _on_executor_news(
         self, _link: peers.MessageLink, message: messages.ExecutorNews
     ) -> None:
@@ -489,6 +531,8 @@
             )
             if new_holder.host != self._me:
                 self._holder_role.end("another holder took over")
+                self._standby.forget_fences()
+                self.jobs.is_fenced = False
             if not new_holder.is_standby:
                 self._standby.end_discovery()
         self.jobs.set_holder(new_holder)
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -60,6 +60,8 @@
     :ivar holder: the current holder, None while there is none
     :ivar is_holder_suspect: whether the holder may be lost, so that jobs
         wait that it hasn't received
+    :ivar is_fenced: whether executors obey a holder that this host can't
+        reach, so that new jobs are refused without a holder
     :ivar holder_lost_at: when the last holder was lost, seconds
     """
 
@@ -73,6 +75,7 @@
     ) -> None:
         self.holder: HolderId | None = None
         self.is_holder_suspect = False
+        self.is_fenced = False
         self._me = node.cfg.id
         self._heap = node.heap
         self._send = send
@@ -107,7 +110,9 @@
             )
             self._jobs[job.id] = state
         state.waiting[number] = answered
-        if state.offered_to is None and not self.is_holder_suspect:
+        if self.holder is None and self.is_fenced:
+            self.expire(self._heap.clock.now())
+        elif state.offered_to is None and not self.is_holder_suspect:
             self._offer(state)
         return number
 
@@ -190,13 +195,13 @@
             if state.offered_to is None:
                 slack_s = state.job.objective_s - state.job.critical_path_s
                 timeout_s = max(NEVER_OFFERED_TIMEOUT_S, slack_s)
-                if now - state.submitted_at >= timeout_s:
+                if self.is_fenced or now - state.submitted_at >= timeout_s:
                     self._end(
                         work.Answer(
                             state.job.id,
                             work.Outcome.REFUSED,
                             RETRY_AFTER_MS,
-                            "no_holder",
+                            "fenced" if self.is_fenced else "no_holder",
                         )
                     )
             elif now - self.holder_lost_at >= HOLDER_LOST_TIMEOUT_S:
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -92,6 +92,11 @@
         """Whether this host is the holder."""
         return self._runner is not None
 
+    @property
+    def is_fenced_off(self) -> bool:
+        """Whether the executors obey another holder instead of this host."""
+        return self._runner is not None and self._runner.engine.is_fenced_off
+
     @property
     def highest_token(self) -> int:
         """The highest fencing token seen by this host, 0 for none."""
@@ -177,6 +182,11 @@
             self._runner.close()
             self._runner = None
 
+    def refuse_unstarted(self, *, reason: str) -> None:
+        """Refuse the jobs of which no holder has begun a run."""
+        if self._runner is not None:
+            self._runner.refuse_unstarted(reason=reason)
+
     def close_zones(self, zones: frozenset[ids.ZoneId]) -> None:
         """Start nothing in these zones from now on; open all others."""
         if self._runner is not None:
--- a/chervilwheel/control/standby.py
+++ b/chervilwheel/control/standby.py
@@ -17,6 +17,11 @@
 QUORUM_TIMEOUT_S = 0.25
 # Longer than the interval of heartbeats to hosts that aren't the holder.
 HEARTBEAT_TIMEOUT_S = 0.8
+# A standby that executors have fenced off tries again after this time, since
+# the other holder, which it can't reach, may have ended. Doubled each time:
+# another holder that goes on loses its runs by it.
+FENCED_RETRY_S = 20.0
+MAX_FENCED_RETRY_S = 640.0
 # Two heartbeats to an entry host that reaches a leader, which it answers.
 LEADER_TIMEOUT_S = 0.35
 
@@ -34,11 +39,50 @@
         self._quorum_seen_at: dict[ids.InstanceId, float] = {}
         self._leader_seen_at = -ELECTION_WAIT_S
         self._discovering_since: float | None = None
+        self._fenced_until = 0.0
+        self._fenced_retry_s = FENCED_RETRY_S
+        self._fenced_peers: dict[ids.InstanceId, float] = {}
 
     def record_heartbeat(self, entry: ids.InstanceId, now: float) -> None:
         """Record a heartbeat of another entry host."""
         self._heartbeat_at[entry] = now
 
+    def record_fenced(self, now: float) -> None:
+        """Record that executors obey a holder that this host can't reach."""
+        self._fenced_until = now + self._fenced_retry_s
+        self._fenced_retry_s = min(
+            MAX_FENCED_RETRY_S, 2 * self._fenced_retry_s
+        )
+
+    def record_peer_fence(
+        self, entry: ids.InstanceId, now: float, *, is_fenced: bool
+    ) -> None:
+        """Record whether another entry host was fenced off by executors."""
+        if is_fenced:
+            self._fenced_peers[entry] = now
+        else:
+            self._fenced_peers.pop(entry, None)
+
+    def forget_fences(self) -> None:
+        """Record that another holder can be reached."""
+        self._fenced_until = 0.0
+        self._fenced_retry_s = FENCED_RETRY_S
+        self._fenced_peers.clear()
+
+    def was_fenced(self, now: float) -> bool:
+        """Whether executors have fenced this host off recently."""
+        return now < self._fenced_until
+
+    def is_fenced(self, now: float) -> bool:
+        """Whether another holder has the executors that a standby here had.
+
+        Entry hosts that reach each other would share that standby.
+        """
+        return self.was_fenced(now) or any(
+            now - at < HEARTBEAT_TIMEOUT_S
+            for at in self._fenced_peers.values()
+        )
+
     def record_quorum(
         self, control: ids.InstanceId, now: float, *, is_reached: bool
     ) -> None:
@@ -96,6 +140,8 @@
         wait_s = ELECTION_WAIT_S if self.can_elect(now) else NO_QUORUM_WAIT_S
         if now - holder_lost_at < wait_s:
             return False
+        if self.is_fenced(now):
+            return False
         if now - self._leader_seen_at < LEADER_TIMEOUT_S:
             # Two holders of the same executors would only fence each other.
             return False
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -363,6 +363,7 @@
     :ivar has_quorum: whether a control host has told it of a quorum recently
     :ivar is_probe: whether the receiver is to answer at once, an entry host
         with its heartbeat and a control host with its status
+    :ivar is_fenced: whether executors have fenced it off as a standby holder
     """
 
     entry: ids.InstanceId
@@ -377,6 +378,7 @@
     echo: float = 0.0
     has_quorum: bool = False
     is_probe: bool = False
+    is_fenced: bool = False
 
 
 class EntryPeer(typing.NamedTuple):
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -349,6 +349,7 @@
   echo @9 :Float64;
   hasQuorum @10 :Bool;
   isProbe @11 :Bool;
+  isFenced @12 :Bool;
 }
 
 struct EntryPeer { host @0 :Text; zone @1 :Text; }
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -45,6 +45,13 @@
 # When ticks are further apart than this, answers may have arrived unread.
 MAX_TICK_INTERVAL_S = 0.05
 
+# Answers to a start order that say that the run has not begun.
+NOTHING_STARTED = (
+    work.StartVerdict.FENCED,
+    work.StartVerdict.NO_ROOM,
+    work.StartVerdict.TOO_LATE,
+    work.StartVerdict.NOT_SENT,
+)
 
 # Reason of answers to jobs with a task under which executors were lost.
 LOSSES = "executors_lost"
@@ -80,6 +87,7 @@
     ) -> None:
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self._ticked_at = now
+        self._fences_checked_at = now - leases.FENCED_PAUSE_S
         self.verdicts: collections.Counter[str] = collections.Counter()
         self._limits = lease_limits
         self._reports_complete_at = reports_complete_at
@@ -148,6 +156,16 @@
         """The current fencing token."""
         return self._leases.token
 
+    @property
+    def is_fenced_off(self) -> bool:
+        """Whether executors obey another holder, and none obeys this one."""
+        is_fenced = False
+        for executor in self.executors.values():
+            if executor.is_synced:
+                return False
+            is_fenced |= executor.is_fenced
+        return is_fenced
+
     @property
     def jobs(self) -> typing.Mapping[ids.JobId, jobstate.JobState]:
         """Current jobs and recently ended ones, by id."""
@@ -391,6 +409,9 @@
             },
         )
         executor.remove_run(run.task)
+        state = self._job_table.jobs.get(run.task.job)
+        if state is not None and verdict in NOTHING_STARTED:
+            state.refused_starts += 1
         self._job_table.requeue(run)
         self._starter.place(now)
 
@@ -673,6 +694,30 @@
         """Use a higher fencing token for all further orders."""
         self._leases.raise_token(token, self.executors.values(), now)
 
+    def check_fences(self, now: float) -> None:
+        """Find out which executors still obey the fencing token.
+
+        Those without runs aren't asked for anything otherwise.
+        """
+        if now - self._fences_checked_at < leases.FENCED_PAUSE_S:
+            return
+        self._fences_checked_at = now
+        for executor in self.executors.values():
+            if executor.is_synced:
+                self._leases.poll(executor, now)
+
+    def refuse_unstarted(self, now: float, *, reason: str) -> None:
+        """Refuse the jobs of which no holder has begun a run."""
+        unstarted = [s for s in self._job_table.active if s.has_never_run]
+        for state in unstarted:
+            self._finish(
+                state,
+                work.Outcome.REFUSED,
+                now,
+                reason=reason,
+                retry_after_ms=refusal.NO_ROOM_RETRY_MS,
+            )
+
     def _give_up_taken_over(self, now: float) -> None:
         """Answer the taken-over jobs without a run that will be too late."""
         for state in self._job_table.waiting.all_jobs():
--- a/chervilwheel/workers/jobstate.py
+++ b/chervilwheel/workers/jobstate.py
@@ -63,6 +63,8 @@
     :ivar objective_s: latency objective, seconds; later answers have reduced
         value
     :ivar min_cpu: the smallest CPU need of any of its tasks
+    :ivar starts: number of start orders issued for its tasks
+    :ivar refused_starts: how many of them executors refused
     """
 
     def __init__(
@@ -75,6 +77,8 @@
         self.critical_path_s = job.critical_path_s
         self.objective_s = job.objective_s
         self.is_started = False
+        self.starts = 0
+        self.refused_starts = 0
         self.is_taking_over = job.offers > 0
         self.takeover_from = now
         self.min_cpu = min((step.room.cpu for step in job.steps), default=0)
@@ -157,6 +161,11 @@
         """Whether its answer would be too late to be of use."""
         return self.urgency(now).urgency is Urgency.WORTHLESS
 
+    @property
+    def has_never_run(self) -> bool:
+        """Whether surely no holder has begun a run of its tasks."""
+        return not self.job.offers and self.starts == self.refused_starts
+
     @property
     def is_finished(self) -> bool:
         """Whether its answer is final."""
--- a/chervilwheel/workers/starter.py
+++ b/chervilwheel/workers/starter.py
@@ -376,6 +376,7 @@
         )
         task.executor = executor.id
         state.is_started = True
+        state.starts += 1
         state.open_runs += 1
         self.starts += 1
         self._actions.append(
