Tokens: a leader without bumps left begins a new term

Read in the review: each standby that fences a leader off costs one of 255 bumps and none is given back; after that a fenced leader stays so until the next election, and a standby below another's token for good.

A token is ordered by bump, term, side, so with all bumps used the term decides. A leader that is fenced with the last bump now stands for election in the next term (no more than once a second), as which it is above each standby of its own term. A standby takes the term after that of the highest token; its side keeps its tokens its own.

Two tests with executors that fence, of a leader and of a standby with the last bump: no job was served on, all are now. 60 schedules of crashes, lost disks and cuts in which leaders begin terms hold the invariants of the log.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -44,6 +44,8 @@
 # Many entry hosts join at the same time.
 ENTRY_NEWS_INTERVAL_S = 0.3
 INTRODUCED_ENTRIES = 4
+# A leader begins a new term on its own no sooner than this after another.
+MIN_TERM_S = 1.0
 # A standby holder, which has no quorum, may hold an executor for this long.
 MAX_REPORT_AGE_S = 60.0
 # Below the 1 s that the operator's client waits for an answer.
@@ -99,6 +101,7 @@
         self._is_push_due = False
         self._is_entry_news_due = False
         self._polled_at = self._resumed_at = self._started_at
+        self._term_begun_at = self._started_at - MIN_TERM_S
         self.holder_role = holding.HolderRole(
             me=node.cfg.id,
             heap=node.heap,
@@ -712,9 +715,19 @@
             may_send_orders=self._may_send_orders,
             closed_zones=self._zone_view.evacuated,
             speed_rows=self._speeds.known(self._heap.clock.now()),
+            on_bumps_used=self._begin_term,
         )
         self._send_status()
 
+    def _begin_term(self) -> None:
+        """Begin a new term, whose tokens exceed those of a standby."""
+        now = self._heap.clock.now()
+        if now - self._term_begun_at < MIN_TERM_S:
+            return
+        self._term_begun_at = now
+        self.holder_role.end("fencing tokens used up")
+        self._group.begin_term()
+
 
 def _stable_fields(report: work.ExecutorReport) -> work.ExecutorReport:
     """Reset the fields that change with every report.
--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -29,6 +29,8 @@
     :param notify: receives the entry host and a notice about its job
     :param may_send_orders: whether orders may be sent now
     :param may_start: whether tasks may be started now
+    :param on_bumps_used: called when executors fence the leader off and its
+        token can't be raised any more
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         notify: Notify,
         may_send_orders: typing.Callable[[], bool],
         may_start: typing.Callable[[], bool] = lambda: True,
+        on_bumps_used: typing.Callable[[], None] = lambda: None,
     ) -> None:
         self.engine = job_engine
         self._heap = heap
@@ -51,6 +54,7 @@
         self._fence = fence
         self._bump = bump
         self._may_start = may_start
+        self._on_bumps_used = on_bumps_used
         self._closed_zones: frozenset[ids.ZoneId] = frozenset()
         self._is_closed = False
         self._heap.call_later(TICK_S, self._tick)
@@ -193,8 +197,12 @@
             return
         if not self._may_send_orders():
             return
-        if fenced_token == self.engine.token and self._bump < tokens.MAX_BUMP:
+        if fenced_token != self.engine.token:
+            return
+        if self._bump < tokens.MAX_BUMP:
             self._use_bump(self._bump + 1)
+        else:
+            self._on_bumps_used()
 
     def raise_token_above(self, token: int) -> None:
         """Use a token above one whose holder sends no orders any more.
@@ -204,8 +212,9 @@
         """
         if token <= self.engine.token:
             return
+        self._fence = self._fence.above(token)
         bump = self._fence.bump_above(token)
-        if bump > self._bump:
+        if self._fence.token(bump) > self.engine.token:
             self._use_bump(bump)
 
     def _use_bump(self, bump: int) -> None:
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -125,6 +125,7 @@
         closed_zones: frozenset[ids.ZoneId] = frozenset(),
         may_start: typing.Callable[[], bool] = lambda: True,
         speed_rows: typing.Iterable[speeds.SpeedRow] = (),
+        on_bumps_used: typing.Callable[[], None] = lambda: None,
     ) -> None:
         """Become the holder and take over the executors that have reported.
 
@@ -136,8 +137,11 @@
         :param closed_zones: zones in which nothing is started
         :param may_start: whether tasks may be started now
         :param speed_rows: speeds that an earlier holder has learned
+        :param on_bumps_used: called when executors fence the leader off and
+            its token can't be raised any more
         """
         now = self._heap.clock.now()
+        fence = fence.above(self._highest_token)
         bump = fence.bump_above(self._highest_token)
         job_engine = engine.Engine(
             token=fence.token(bump),
@@ -155,6 +159,7 @@
             notify=self._on_notice,
             may_send_orders=may_send_orders,
             may_start=may_start,
+            on_bumps_used=on_bumps_used,
         )
         self._runner.close_zones(closed_zones)
         arrived = list(reports)
--- a/chervilwheel/control/tokens.py
+++ b/chervilwheel/control/tokens.py
@@ -36,6 +36,19 @@
             bump += 1
         return min(bump, MAX_BUMP)
 
+    def above(self, token: int) -> "Fence":
+        """Return parts of which tokens above ``token`` can be composed.
+
+        A standby whose bumps are used up takes a later term, in which no
+        other host has its side. A leader can't: the next leader has that
+        term.
+        """
+        is_leader = self.side == LEADER_SIDE
+        if is_leader or self.token(self.bump_above(token)) > token:
+            return self
+        term = (token >> SIDE_BITS) % 2**TERM_BITS
+        return self._replace(term=term + 1)
+
     def _low_bits(self) -> int:
         return (self.term % 2**TERM_BITS << SIDE_BITS) | self.side
 
--- a/chervilwheel/grouphost.py
+++ b/chervilwheel/grouphost.py
@@ -164,6 +164,11 @@
         self.member.resign(self._heap.clock.now())
         self._schedule_pump()
 
+    def begin_term(self) -> None:
+        """Begin a new term as the leader."""
+        self.member.begin_term(self._heap.clock.now())
+        self._schedule_pump()
+
     def _tick(self) -> None:
         if self.is_halted:
             return
--- a/chervilwheel/replica.py
+++ b/chervilwheel/replica.py
@@ -287,6 +287,14 @@
             return
         self._transfer(list(self.config.voters), now)
 
+    def begin_term(self, now: float) -> None:
+        """Stand for election in the next term, as the leader of this one.
+
+        Its lease ends with its role, so the voters needn't wait for it.
+        """
+        if self.is_leader:
+            self._campaign(now, is_pre=False, is_transfer=True)
+
     def tick(self, now: float) -> None:
         """Run the timers: elections, heartbeats and join requests."""
         self._now = now
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -288,6 +288,22 @@
         self.assertGreater(tokens.Fence(5, 0).token(0), standby_token)
         self.assertGreater(tokens.Fence(4, 0).token(1), standby_token)
 
+    def test_a_standby_without_bumps_left_exceeds_any_token(self):
+        side = tokens.side_of("10.1.0.2")
+        for other in (0, side, tokens.side_of("10.1.0.9")):
+            token = tokens.Fence(4, other).token(tokens.MAX_BUMP)
+            fence = tokens.Fence(2, side).above(token)
+            self.assertEqual(side, fence.side)
+            self.assertGreater(fence.token(fence.bump_above(token)), token)
+
+    def test_a_leader_keeps_its_term(self):
+        token = tokens.Fence(4, tokens.side_of("10.1.0.2")).token(
+            tokens.MAX_BUMP
+        )
+        self.assertEqual(4, tokens.Fence(4, 0).above(token).term)
+        new = tokens.Fence(5, 0)
+        self.assertGreater(new.token(new.bump_above(token)), token)
+
 
 class LeaderLeaseTest(testtools.TestCase):
     """The leader lease ends before another leader can be elected."""
@@ -414,6 +430,20 @@
         self.leader.resign(self.now)
         self.assertEqual(0.0, self.leader.lease_expires_at())
 
+    def test_a_leader_that_begins_a_term_is_elected_without_a_wait(self):
+        term = self.leader.term
+        self.leader.begin_term(self.now)
+        self.assertEqual(0.0, self.leader.lease_expires_at())
+        self.deliver()
+        self.assertTrue(self.leader.is_leader)
+        self.assertEqual(term + 1, self.leader.term)
+
+    def test_a_leader_without_a_quorum_does_not_begin_a_term(self):
+        self.leader.begin_term(self.now)
+        self.deliver(hold_back=("b", "c"))
+        self.assertFalse(self.leader.is_leader)
+        self.assertEqual(0.0, self.leader.lease_expires_at())
+
 
 class RecordingPort(ports.ExecutorPort):
     """Record the tokens of orders and never answer."""
--- a/tests/test_fencedstandby.py
+++ b/tests/test_fencedstandby.py
@@ -4,6 +4,7 @@
 from chervilwheel.control import controlhost
 from chervilwheel.control import entryhost
 from chervilwheel.control import standby
+from chervilwheel.control import tokens
 from chervilwheel.workers import ports
 from chervilwheel.workers import work
 from loadtool import hostworld
@@ -341,6 +342,40 @@
         self.assertTrue(links[0].is_linked(second))
         self.assertTrue(links[1].is_linked(first))
 
+    def test_a_leader_without_bumps_left_overtakes_a_standby(self):
+        world = self.start()
+        alone, other = sorted(world.entries)
+        term = world.controls[world.holder()].member.term
+        last = tokens.Fence(term, tokens.LEADER_SIDE).token(tokens.MAX_BUMP)
+        world.entries[alone]._holder_role.record_token(last)
+        world.cut_off(alone, [*world.controls, other])
+        self.forget_each_other(world)
+        world.run(2.0)
+        self.assertEqual([alone], self.standbys(world))
+        self.submit(world, other)
+        world.run(3.0)
+        for _ in range(3):
+            served = self.submit(world, other)
+            world.run(1.0)
+            self.assertEqual([work.Outcome.COMPLETED], self.outcomes(served))
+
+    def test_a_standby_without_bumps_left_overtakes_another(self):
+        world = self.start()
+        first = min(world.entries)
+        term = world.controls[world.holder()].member.term
+        gone = tokens.Fence(term, tokens.side_of("10.1.0.9"))
+        last = gone.token(tokens.MAX_BUMP)
+        self.lose_controls(world)
+        for model in self.shared.models.values():
+            model.token = last
+        for entry in world.entries.values():
+            entry._holder_role.record_token(last)
+        world.run(2.0)
+        self.assertEqual([first], self.standbys(world))
+        served = self.submit(world, first)
+        world.run(1.0)
+        self.assertEqual([work.Outcome.COMPLETED], self.outcomes(served))
+
     def test_callers_that_try_both_standbys_in_turn_are_served(self):
         world, *hosts = self.start_two_standbys()
         callers = [
--- a/tests/test_stepper.py
+++ b/tests/test_stepper.py
@@ -124,6 +124,25 @@
 _add_parts()
 
 
+class TermSchedule(stepper.Schedule):
+    """A schedule in which leaders begin terms of their own accord."""
+
+    def _inject_fault(self, rng):
+        super()._inject_fault(rng)
+        leader = self.world.leader()
+        if leader is not None and rng.random() < 0.5:
+            leader.host.begin_term()
+
+
+class TermTest(testtools.TestCase):
+    def test_invariants_hold_though_leaders_begin_terms(self):
+        for seed in range(60):
+            try:
+                TermSchedule(seed=seed).run()
+            except Exception as exc:
+                raise AssertionError(f"seed {seed}") from exc
+
+
 class MutantTest(testtools.TestCase):
     """The schedule's checks detect each fault built into the protocol."""
 
