Drain: an entry host answers every request before it ends

Clients heard nothing, while README promises that a planned stop cuts nothing.

Cause: a draining host took jobs until the moment of its end.

- A job that by its estimate can't be done before the last answers is refused as it arrives: 503 with Retry-After, never offered to a holder.
- 0.2 s before the end what is still open is answered: 503 if no holder has had the job, else 502.
The job isn't cancelled at another host's holder, so a repeated request finds it there.
- The host accepts what is connected, closes its listener and lingers 0.1 s, so that a connection made just before the end is answered too.

--- a/chervilwheel/control/entrydrain.py
+++ b/chervilwheel/control/entrydrain.py
@@ -13,13 +13,16 @@
 # Reserved for the shutdown of the process.
 SHUTDOWN_RESERVE_S = 0.5
 POLL_S = 0.1
+# Reserved for sending the last answers.
+LAST_ANSWERS_S = 0.2
 
 
 class EntryDrain:
-    """Stop an entry host without interrupting requests.
+    """Stop an entry host without cutting off requests.
 
-    Requests that are still open shortly before the end of ``drain_s`` are
-    cut off.
+    Jobs that can't be done before the end of ``drain_s`` are refused as they
+    arrive. Those that are open shortly before it are answered by what is
+    known of them.
 
     :param node: event loop, timers and settings
     :param entry: the entry host
@@ -36,25 +39,44 @@
         self._node = node
         self._entry = entry
         self._front = front
-        self._begun_at = 0.0
+        self._ends_at = 0.0
+        self._is_listening = True
 
     def begin(self) -> None:
         """Report not ready, then stop when no request is open."""
         if self._entry.drain is not entryhost.Drain.SERVING:
             return
         self._entry.drain = entryhost.Drain.LEAVING
-        self._begun_at = self._node.heap.clock.now()
+        heap = self._node.heap
+        drain_s = max(0.0, self._node.cfg.drain_s - SHUTDOWN_RESERVE_S)
+        self._ends_at = heap.clock.now() + drain_s
+        self._entry.jobs.ends_at = self._ends_at - LAST_ANSWERS_S
         _LOG.info("drain: started", extra={"running": len(self._entry.jobs)})
-        self._node.heap.call_later(READINESS_NOTICE_S, self._poll)
+        heap.call_later(min(READINESS_NOTICE_S, drain_s), self._poll)
 
     def _poll(self) -> None:
+        now = self._node.heap.clock.now()
         self._front.close_idle()
-        elapsed_s = self._node.heap.clock.now() - self._begun_at
-        is_out_of_time = (
-            elapsed_s >= self._node.cfg.drain_s - SHUTDOWN_RESERVE_S
-        )
-        if self._front.busy and not is_out_of_time:
-            self._node.heap.call_later(POLL_S, self._poll)
+        if now >= self._ends_at:
+            self._stop()
             return
+        is_late = now >= self._ends_at - LAST_ANSWERS_S
+        if is_late:
+            self._entry.answer_open_requests()
+        if self._front.busy and not is_late:
+            left_s = self._ends_at - LAST_ANSWERS_S - now
+            self._node.heap.call_later(min(POLL_S, left_s), self._poll)
+        elif self._is_listening:
+            # A request on a connection made just before is still answered.
+            self._is_listening = False
+            self._front.stop_listening()
+            self._node.heap.call_later(POLL_S, self._poll)
+        elif self._front.busy:
+            left_s = self._ends_at - now
+            self._node.heap.call_later(min(POLL_S, left_s), self._poll)
+        else:
+            self._stop()
+
+    def _stop(self) -> None:
         _LOG.info("drain: finished", extra={"busy": self._front.busy})
         self._node.stop()
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -158,6 +158,11 @@
         else:
             done(0.0)
 
+    def answer_open_requests(self) -> None:
+        """Answer all requests before this host ends, as far as is known."""
+        self._start_wait.give_up_all()
+        self.jobs.answer_all()
+
     def waiting(self, queue: str) -> int:
         """Count a queue's jobs whose first task hasn't started."""
         return self._counts.get(queue, 0)
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -3,6 +3,7 @@
 import collections
 import itertools
 import logging
+import math
 import typing
 
 from chervilwheel import ids
@@ -62,6 +63,7 @@
         wait that it hasn't received
     :ivar is_fenced: whether executors obey a holder that this host can't
         reach, so that new jobs are refused without a holder
+    :ivar ends_at: when this host stops answering jobs, seconds
     :ivar holder_lost_at: when the last holder was lost, seconds
     """
 
@@ -76,6 +78,7 @@
         self.holder: HolderId | None = None
         self.is_holder_suspect = False
         self.is_fenced = False
+        self.ends_at = math.inf
         self._me = node.cfg.id
         self._heap = node.heap
         self._send = send
@@ -110,7 +113,10 @@
             )
             self._jobs[job.id] = state
         state.waiting[number] = answered
-        if self.holder is None and self.is_fenced:
+        expected_at = self._heap.clock.now() + job.critical_path_s
+        if state.offered_to is None and expected_at >= self.ends_at:
+            self._answer_draining(state)
+        elif self.holder is None and self.is_fenced:
             self.expire(self._heap.clock.now())
         elif state.offered_to is None and not self.is_holder_suspect:
             self._offer(state)
@@ -211,6 +217,27 @@
                     )
                 )
 
+    def answer_all(self) -> None:
+        """Answer all jobs and cancels before this host ends.
+
+        Jobs go on at another host's holder, where a repeated request finds
+        them.
+        """
+        for state in list(self._jobs.values()):
+            if self.holder is not None and self.holder.host == self._me:
+                self._holder_role.cancel(state.job.id, work.Outcome.LOST)
+            self._answer_draining(state)
+        for number in list(self._pending_cancels):
+            self.resolve_cancel(number, None)
+
+    def _answer_draining(self, state: _JobState) -> None:
+        outcome = work.Outcome.LOST
+        if state.offered_to is None:
+            outcome = work.Outcome.REFUSED
+        self._end(
+            work.Answer(state.job.id, outcome, RETRY_AFTER_MS, "draining")
+        )
+
     def _send_cancel(
         self, holder: HolderId, number: int, job: ids.JobId
     ) -> None:
--- a/chervilwheel/control/startwait.py
+++ b/chervilwheel/control/startwait.py
@@ -55,6 +55,11 @@
         for since, done in waiting.values():
             done(now - since)
 
+    def give_up_all(self) -> None:
+        """Refuse all requests that still wait."""
+        for number in list(self._waiting):
+            self._give_up(number)
+
     def _give_up(self, number: int) -> None:
         since, done = self._waiting.pop(number, (0.0, None))
         if done is not None:
--- a/chervilwheel/http/server.py
+++ b/chervilwheel/http/server.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import logging
+import socket
 import typing
 
 from chervilwheel import addresses
@@ -103,6 +104,7 @@
         self.is_closing = False
         self._loop = loop
         self._conns: set[_Conn] = set()
+        self._listeners: list[socket.socket] = []
         heap.call_every(TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
 
     @property
@@ -115,7 +117,13 @@
 
         :raises OSError: when the address can't be bound
         """
-        self._loop.listen(address, self._accept)
+        self._listeners.append(self._loop.listen(address, self._accept))
+
+    def stop_listening(self) -> None:
+        """Accept no more connections."""
+        for sock in self._listeners:
+            self._loop.stop_listening(sock)
+        self._listeners = []
 
     def close_idle(self) -> None:
         """Close idle connections; close the others after their response."""
--- a/chervilwheel/streams.py
+++ b/chervilwheel/streams.py
@@ -209,17 +209,23 @@
         self._poller.addReader(self, sock)
 
     def stop_listening(self, sock: socket.socket) -> None:
-        """Stop accepting and close the listening socket."""
-        if self._listeners.pop(sock, None) is not None:
-            self._poller.discard(sock)
-            sock.close()
+        """Accept what is connected, then close the listening socket."""
+        acceptor = self._listeners.get(sock)
+        if acceptor is not None and sock.type == socket.SOCK_STREAM:
+            self._accept_all(sock, acceptor)
+        self._close_listener(sock)
 
     def close(self) -> None:
         """Close all streams and listening sockets."""
         for stream in list(self._streams.values()):
             stream.close()
         for sock in list(self._listeners):
-            self.stop_listening(sock)
+            self._close_listener(sock)
+
+    def _close_listener(self, sock: socket.socket) -> None:
+        if self._listeners.pop(sock, None) is not None:
+            self._poller.discard(sock)
+            sock.close()
 
     def watch_writable(self, stream: Stream) -> None:
         """Start polling a stream for writability."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -219,6 +219,21 @@
             result = self.call(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
         self.assertEqual(client.Failure.UNKNOWN, result.failure)
 
+    def test_a_connection_made_before_the_listener_closes_is_answered(self):
+        with socket.create_connection(tuple(self.address)) as sock:
+            sock.sendall(b"GET /last HTTP/1.1\r\nHost: x\r\n\r\n")
+            self.server.stop_listening()
+            deadline = time.monotonic() + DEADLINE_S
+            while not self.exchanges and time.monotonic() < deadline:
+                self.app.tick(timeout=0.01)
+            sock.settimeout(DEADLINE_S)
+            self.assertIn(b" 200 ", sock.recv(1000))
+        self.assertRaises(
+            ConnectionRefusedError,
+            socket.create_connection,
+            tuple(self.address),
+        )
+
 
 class LateLoopTest(testtools.TestCase):
     """The loop takes longer than a timeout to handle an event."""
