--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -158,11 +158,6 @@
         else:
             done(0.0)
 
-    def answer_open_requests(self) -> None:
-        """Answer all requests before this host ends, as far as is known."""
-        self._start_wait.give_up_all()
-        self.jobs.answer_all()
-
     def waiting(self, queue: str) -> int:
         """Count a queue's jobs whose first task hasn't started."""
         return self._counts.get(queue, 0)
@@ -172,6 +167,11 @@
         """The version of the applied document, 0 for none."""
         return self.routes.document.version if self.routes else 0
 
+    def answer_open_requests(self) -> None:
+        """Answer all requests before this host ends, as far as is known."""
+        self._start_wait.give_up_all()
+        self.jobs.answer_all()
+
     def _send_heartbeat(self) -> None:
         now = self._heap.clock.now()
         self._heartbeats_sent += 1
@@ -295,11 +295,11 @@
             holder is not None
             and self._may_forward(holder.host)
             and age_s <= HOLDER_SUSPECT_S,
+            is_fenced=self._standby.was_fenced(now),
             zones_revision=self._zone_watch.view.revision,
             evacuated=tuple(sorted(self._zone_watch.view.evacuated)),
             stamp=now,
             has_quorum=self._standby.can_elect(now),
-            is_fenced=self._standby.was_fenced(now),
         )
 
     def _on_zones_changed(self) -> None:
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -77,8 +77,6 @@
     ) -> None:
         self.holder: HolderId | None = None
         self.is_holder_suspect = False
-        self.is_fenced = False
-        self.ends_at = math.inf
         self._me = node.cfg.id
         self._heap = node.heap
         self._send = send
@@ -93,6 +91,8 @@
         self._latency = node.metrics.create_histogram("job_ms")
         node.metrics.register_table("jobs_", lambda: self._outcomes)
         node.metrics.register("jobs_running", lambda: len(self._jobs))
+        self.is_fenced = False
+        self.ends_at = math.inf
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -217,27 +217,6 @@
                     )
                 )
 
-    def answer_all(self) -> None:
-        """Answer all jobs and cancels before this host ends.
-
-        Jobs go on at another host's holder, where a repeated request finds
-        them.
-        """
-        for state in list(self._jobs.values()):
-            if self.holder is not None and self.holder.host == self._me:
-                self._holder_role.cancel(state.job.id, work.Outcome.LOST)
-            self._answer_draining(state)
-        for number in list(self._pending_cancels):
-            self.resolve_cancel(number, None)
-
-    def _answer_draining(self, state: _JobState) -> None:
-        outcome = work.Outcome.LOST
-        if state.offered_to is None:
-            outcome = work.Outcome.REFUSED
-        self._end(
-            work.Answer(state.job.id, outcome, RETRY_AFTER_MS, "draining")
-        )
-
     def _send_cancel(
         self, holder: HolderId, number: int, job: ids.JobId
     ) -> None:
@@ -294,6 +273,27 @@
         for answered in state.waiting.values():
             answered(answer)
 
+    def answer_all(self) -> None:
+        """Answer all jobs and cancels before this host ends.
+
+        Jobs go on at another host's holder, where a repeated request finds
+        them.
+        """
+        for state in list(self._jobs.values()):
+            if self.holder is not None and self.holder.host == self._me:
+                self._holder_role.cancel(state.job.id, work.Outcome.LOST)
+            self._answer_draining(state)
+        for number in list(self._pending_cancels):
+            self.resolve_cancel(number, None)
+
+    def _answer_draining(self, state: _JobState) -> None:
+        outcome = work.Outcome.LOST
+        if state.offered_to is None:
+            outcome = work.Outcome.REFUSED
+        self._end(
+            work.Answer(state.job.id, outcome, RETRY_AFTER_MS, "draining")
+        )
+
     def _describe(
         self, state: _JobState, waited_s: float
     ) -> dict[str, typing.Any]:
