Standby: a fenced entry host doesn't hold up others that had a leader

A standby that a leader had fenced off in a cut stayed the candidate of its peers by its low name, and they refused with it for up to 20 s after the cut had healed and the leader was lost.

Peers pass over a fenced host, and refuse with it only if it was the last holder that they followed.

--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -536,8 +536,8 @@
             )
             if new_holder.host != self._me:
                 self._holder_role.end("another holder took over")
-                self._standby.forget_fences()
                 self.jobs.is_fenced = False
+            self._standby.record_holder(new_holder.host)
             if not new_holder.is_standby:
                 self._standby.end_discovery()
         self.jobs.set_holder(new_holder)
--- a/chervilwheel/control/standby.py
+++ b/chervilwheel/control/standby.py
@@ -42,6 +42,7 @@
         self._fenced_until = 0.0
         self._fenced_retry_s = FENCED_RETRY_S
         self._fenced_peers: dict[ids.InstanceId, float] = {}
+        self._followed: ids.InstanceId | None = None
 
     def record_heartbeat(self, entry: ids.InstanceId, now: float) -> None:
         """Record a heartbeat of another entry host."""
@@ -63,8 +64,11 @@
         else:
             self._fenced_peers.pop(entry, None)
 
-    def forget_fences(self) -> None:
-        """Record that another holder can be reached."""
+    def record_holder(self, holder: ids.InstanceId) -> None:
+        """Record the holder that this host uses now."""
+        self._followed = holder
+        if holder == self._me:
+            return
         self._fenced_until = 0.0
         self._fenced_retry_s = FENCED_RETRY_S
         self._fenced_peers.clear()
@@ -74,15 +78,20 @@
         return now < self._fenced_until
 
     def is_fenced(self, now: float) -> bool:
-        """Whether another holder has the executors that a standby here had.
+        """Whether another holder has the executors of the last one here.
 
-        Entry hosts that reach each other would share that standby.
+        That may be another entry host. A host that has followed another
+        holder since may take over: it knows that this one is lost.
         """
-        return self.was_fenced(now) or any(
-            now - at < HEARTBEAT_TIMEOUT_S
-            for at in self._fenced_peers.values()
+        return self.was_fenced(now) or (
+            self._followed is not None
+            and self._is_peer_fenced(self._followed, now)
         )
 
+    def _is_peer_fenced(self, entry: ids.InstanceId, now: float) -> bool:
+        fenced_at = self._fenced_peers.get(entry)
+        return fenced_at is not None and now - fenced_at < HEARTBEAT_TIMEOUT_S
+
     def record_quorum(
         self, control: ids.InstanceId, now: float, *, is_reached: bool
     ) -> None:
@@ -97,11 +106,15 @@
         self._leader_seen_at = now
 
     def reachable(self, now: float) -> list[ids.InstanceId]:
-        """List the reachable entry hosts in order, including this one."""
+        """List the reachable entry hosts in order, including this one.
+
+        Those that executors have fenced off don't take over.
+        """
         alive = [
             name
             for name, at in self._heartbeat_at.items()
             if now - at < HEARTBEAT_TIMEOUT_S
+            and not self._is_peer_fenced(name, now)
         ]
         return sorted([*alive, self._me])
 
--- a/tests/test_fencedstandby.py
+++ b/tests/test_fencedstandby.py
@@ -318,6 +318,24 @@
         world.run(1.0)
         self.assertEqual([work.Outcome.COMPLETED], self.outcomes(served))
 
+    def test_a_fenced_standby_does_not_hold_up_hosts_that_had_a_leader(self):
+        world = self.start()
+        fenced, other = sorted(world.entries)
+        world.cut_off(fenced, [*world.controls, other])
+        world.run(2.0)
+        for host in (other, fenced):
+            self.submit(world, host)
+            world.run(1.0)
+        refused = self.submit(world, fenced)
+        self.assertEqual([work.Outcome.REFUSED], self.outcomes(refused))
+        self.lose_controls(world)
+        world.network.cuts.clear()
+        world.run(3.0)
+        for host in (fenced, other):
+            served = self.submit(world, host)
+            world.run(1.0)
+            self.assertEqual([work.Outcome.COMPLETED], self.outcomes(served))
+
     def test_standbys_find_each_other_over_a_host_that_knows_both(self):
         world = self.start(entries=3)
         first, second, both = sorted(world.entries)
