Engine: a job sent again to another holder takes its known runs over

The first offer of a job of which such a run is known now counts as the offer of a job that another holder has had: the run is adopted, and nothing starts until the others are known or have ended.

Not covered: an offer that arrives before the executor has listed the run, some milliseconds after a holder has begun, or longer if the executor doesn't answer.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -286,6 +286,7 @@
             if existing.is_started:
                 job = job._replace(offers=job.offers + existing.job.offers + 1)
             job = job._replace(losses=(*job.losses, *existing.losses))
+        job = self._reconciler.with_known_offers(job)
         self._learn_cold_rate(job)
         state = self._job_table.add(job, entry, now)
         self._losses.offered(state, now)
--- a/chervilwheel/workers/reconciler.py
+++ b/chervilwheel/workers/reconciler.py
@@ -241,6 +241,19 @@
                 extra={"executor": executor.id, "pause_s": ejection.pause_s},
             )
 
+    def with_known_offers(self, job: work.Job) -> work.Job:
+        """Count the offer of a new job to a holder that has ordered runs.
+
+        Its request was sent again, to an entry host with another holder.
+        """
+        has_orphans = not job.offers and any(
+            run.is_orphan and run.task.job == job.id
+            for name in self._executors_with_orphans(job.id)
+            if name in self._executors
+            for run in self._executors[name].runs.values()
+        )
+        return job._replace(offers=1) if has_orphans else job
+
     def adopt(self, state: jobstate.JobState, now: float) -> None:
         """Adopt the runs and completed tasks of a job from other holders."""
         for name in self._executors_with_orphans(state.job.id):
--- a/tests/test_fencedstandby.py
+++ b/tests/test_fencedstandby.py
@@ -407,6 +407,28 @@
         for caller in callers:
             self.assertIs(work.Outcome.COMPLETED, caller.outcomes[-1])
 
+    def test_a_job_sent_to_the_other_standby_meanwhile_runs_once(self):
+        self.shared.task_s = 2.0
+        world = self.start()
+        fenced, other = sorted(world.entries)
+        world.cut_off(fenced, [*world.controls, other])
+        self.forget_each_other(world)
+        world.run(2.0)
+        jobs = [ids.JobId(f"{number:016x}") for number in range(4)]
+        first = [Caller(world, [fenced, other], each) for each in jobs]
+        for caller in first:
+            caller.submit()
+        world.run(0.3)
+        self.lose_controls(world)
+        while not world.entries[other]._holder_role.is_active:
+            world.run(0.01)
+        second = [Caller(world, [other], each) for each in jobs]
+        for caller in second:
+            caller.submit()
+        world.run(10.0)
+        for caller in (*first, *second):
+            self.assertIs(work.Outcome.COMPLETED, caller.outcomes[-1])
+
 
 class Caller:
     """Sends a job to hosts in turn until it is completed."""
