--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -1,5 +1,6 @@
 """A control host: a replica of the document's log and potential holder."""
 
+import heapq
 import logging
 import pathlib
 import random
@@ -42,6 +43,9 @@
 STATUS_INTERVAL_S = 0.15
 # Many entry hosts join at the same time.
 ENTRY_NEWS_INTERVAL_S = 0.3
+INTRODUCED_ENTRIES = 4
+# A leader begins a new term on its own no sooner than this after another.
+MIN_TERM_S = 1.0
 # A standby holder, which has no quorum, may hold an executor for this long.
 MAX_REPORT_AGE_S = 60.0
 # Below the 1 s that the operator's client waits for an answer.
@@ -103,6 +107,7 @@
         self._is_push_due = False
         self._is_entry_news_due = False
         self._polled_at = self._resumed_at = self._started_at
+        self._term_begun_at = self._started_at - MIN_TERM_S
         self.holder_role = holding.HolderRole(
             me=node.cfg.id,
             heap=node.heap,
@@ -503,6 +508,7 @@
         if is_new:
             reports = tuple(each for _, each in self._reports.values())
             link.send(messages.ExecutorNews(reports))
+            self._introduce(link, message.zone)
         # The holder sends its status periodically, the same to all.
         is_periodic = self.holder_role.is_active and not message.is_probe
         if is_new or not is_periodic:
@@ -510,6 +516,22 @@
         if is_new or previous.zone != message.zone:
             self._is_entry_news_due = True
 
+    def _introduce(self, link: peers.MessageLink, zone: ids.ZoneId) -> None:
+        """Tell a new entry host of a few that share its standby.
+
+        They would not find each other if all control hosts were lost before
+        the next news.
+        """
+        shared = self._standby_zones.shared_with(zone)
+        known = (
+            messages.EntryPeer(name, entry_link.zone)
+            for name, entry_link in self.holder_role.entries.items()
+            if name != link.peer and entry_link.zone in shared
+        )
+        # Standbys are chosen by the lowest name.
+        first = heapq.nsmallest(INTRODUCED_ENTRIES, known)
+        link.send(messages.EntryNews(tuple(first), ()))
+
     def _send_entry_news(self) -> None:
         """Tell the entry hosts which ones share a standby, after a change."""
         if not self._is_entry_news_due:
@@ -717,9 +739,19 @@
             may_send_orders=self._may_send_orders,
             closed_zones=self._zone_view.evacuated,
             speed_rows=self._speeds.known(self._heap.clock.now()),
+            on_bumps_used=self._begin_term,
         )
         self._send_status()
 
+    def _begin_term(self) -> None:
+        """Begin a new term, whose tokens exceed those of a standby."""
+        now = self._heap.clock.now()
+        if now - self._term_begun_at < MIN_TERM_S:
+            return
+        self._term_begun_at = now
+        self.holder_role.end("fencing tokens used up")
+        self._group.begin_term()
+
 
 def _stable_fields(report: work.ExecutorReport) -> work.ExecutorReport:
     """Reset the fields that change with every report.
--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -29,6 +29,8 @@
     :param notify: receives the entry host and a notice about its job
     :param may_send_orders: whether orders may be sent now
     :param may_start: whether tasks may be started now
+    :param on_bumps_used: called when executors fence the leader off and its
+        token can't be raised any more
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         notify: Notify,
         may_send_orders: typing.Callable[[], bool],
         may_start: typing.Callable[[], bool] = lambda: True,
+        on_bumps_used: typing.Callable[[], None] = lambda: None,
     ) -> None:
         self.engine = job_engine
         self._heap = heap
@@ -51,6 +54,7 @@
         self._fence = fence
         self._bump = bump
         self._may_start = may_start
+        self._on_bumps_used = on_bumps_used
         self._closed_zones: frozenset[ids.ZoneId] = frozenset()
         self._is_closed = False
         self._heap.call_later(TICK_S, self._tick)
@@ -95,6 +99,11 @@
         self.engine.end_entry_jobs(entry, self._now())
         self.execute_actions()
 
+    def refuse_unstarted(self, *, reason: str) -> None:
+        """Refuse the jobs of which no holder has begun a run."""
+        self.engine.refuse_unstarted(self._now(), reason=reason)
+        self.execute_actions()
+
     def execute_actions(self) -> None:
         """Execute all actions that the engine has queued."""
         while True:
@@ -179,13 +188,21 @@
         """Replace a token that an executor fenced off with a higher one.
 
         The executor has seen the token of a standby holder. Only the
-        leader does this, and only while its leader lease is valid.
+        leader does this, and only while its leader lease is valid: two
+        standbys that don't know each other would take turns.
         """
-        is_leader = self._fence.side == tokens.LEADER_SIDE
-        if not is_leader or not self._may_send_orders():
+        if self._fence.side != tokens.LEADER_SIDE:
+            if fenced_token == self.engine.token:
+                self.engine.check_fences(self._now())
+            return
+        if not self._may_send_orders():
             return
-        if fenced_token == self.engine.token and self._bump < tokens.MAX_BUMP:
+        if fenced_token != self.engine.token:
+            return
+        if self._bump < tokens.MAX_BUMP:
             self._use_bump(self._bump + 1)
+        else:
+            self._on_bumps_used()
 
     def raise_token_above(self, token: int) -> None:
         """Use a token above one whose holder sends no orders any more.
@@ -195,8 +212,9 @@
         """
         if token <= self.engine.token:
             return
+        self._fence = self._fence.above(token)
         bump = self._fence.bump_above(token)
-        if bump > self._bump:
+        if self._fence.token(bump) > self.engine.token:
             self._use_bump(bump)
 
     def _use_bump(self, bump: int) -> None:
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -40,6 +40,9 @@
 CONTROL_REPLY_TIMEOUT_S = 0.1
 # Control hosts answer a heartbeat within a few milliseconds.
 QUORUM_REPLY_S = 0.03
+# A standby holder that all executors have fenced off waits this long for the
+# status of another holder, which is sent every 0.15 s.
+FENCED_WAIT_S = 0.2
 # Links to entry hosts are closed this long after the last message.
 ENTRY_LINK_UNUSED_S = 2.0
 # Above the number of executor incarnations that a zone has in a day.
@@ -112,6 +115,7 @@
         self._holder_seen_at = 0.0
         self._control_seen_at = 0.0
         self._suspect_since: float | None = None
+        self._fenced_since: float | None = None
         self._counts: dict[str, int] = {}
         self._heartbeats_sent = 0
         node.metrics.register(
@@ -163,6 +167,11 @@
         """The version of the applied document, 0 for none."""
         return self.routes.document.version if self.routes else 0
 
+    def answer_open_requests(self) -> None:
+        """Answer all requests before this host ends, as far as is known."""
+        self._start_wait.give_up_all()
+        self.jobs.answer_all()
+
     def _send_heartbeat(self) -> None:
         now = self._heap.clock.now()
         self._heartbeats_sent += 1
@@ -180,6 +189,7 @@
         holder = self.jobs.holder
         if holder is not None and holder.host != self._me:
             self._check_silence(holder, now)
+        self._check_fence(now)
         if self.jobs.holder is None:
             # Discovery comes first: two standbys would fence each other.
             self._should_discover(now)
@@ -208,6 +218,26 @@
         elif silent_s > HOLDER_TIMEOUT_S:
             self._clear_holder("silent")
 
+    def _check_fence(self, now: float) -> None:
+        """Stop being a standby holder when no executor obeys it any more.
+
+        Another holder has the executors. Unless it can be found, callers are
+        sent to other entry hosts at once.
+        """
+        if not self._holder_role.is_fenced_off:
+            self._fenced_since = None
+        elif self._fenced_since is None:
+            self._fenced_since = now
+            self._send_to(self._control_hosts | self._standby_peers())
+        elif now - self._fenced_since >= FENCED_WAIT_S:
+            self._standby.record_fenced(now)
+            self._holder_role.refuse_unstarted(reason="fenced")
+            self._holder_role.end("fenced")
+            self._clear_holder("fenced")
+            # The hosts that followed it look for another holder.
+            self._holder_role.send_status(self._status())
+        self.jobs.is_fenced = self._standby.is_fenced(now)
+
     def _heartbeat_receivers(self, now: float) -> set[ids.InstanceId]:
         """Return the hosts that receive the next heartbeat."""
         holder = self.jobs.holder
@@ -265,6 +295,7 @@
             holder is not None
             and self._may_forward(holder.host)
             and age_s <= HOLDER_SUSPECT_S,
+            is_fenced=self._standby.was_fenced(now),
             zones_revision=self._zone_watch.view.revision,
             evacuated=tuple(sorted(self._zone_watch.view.evacuated)),
             stamp=now,
@@ -350,7 +381,8 @@
         if heartbeat.has_leader:
             self._reach_leader(heartbeat.holder, link.peer, now)
             return
-        self._entry_zones[link.peer] = heartbeat.zone
+        self._entry_zones[self._node.add_host(link.peer)] = heartbeat.zone
+        self._learn_standby(heartbeat)
         if self._zone_watch.is_witness(link.peer, self._shared_zones()):
             return
         self._holder_role.record_entry(
@@ -359,6 +391,9 @@
         self._holder_role.record_token(heartbeat.token)
         if heartbeat.zone in self._shared_zones():
             self._standby.record_heartbeat(link.peer, now)
+            self._standby.record_peer_fence(
+                link.peer, now, is_fenced=heartbeat.is_fenced
+            )
         if self._holder_role.is_active:
             if heartbeat.holder == self._me:
                 self._holder_role.raise_token_above(heartbeat.token)
@@ -368,6 +403,18 @@
         if reply.has_leader and heartbeat.holder != reply.holder:
             link.send(self._zone_watch.with_echo(reply, link.peer))
 
+    def _learn_standby(self, heartbeat: messages.EntryBeat) -> None:
+        """Contact the standby holder that another entry host follows.
+
+        Without control hosts nobody else names it.
+        """
+        holder = heartbeat.holder
+        is_known = holder in self._entry_zones or holder in self._control_hosts
+        if holder in ("", self._me) or is_known:
+            return
+        if heartbeat.zone in self._shared_zones():
+            self._entry_zones[self._node.add_host(holder)] = heartbeat.zone
+
     def _on_executor_news(
         self, _link: peers.MessageLink, message: messages.ExecutorNews
     ) -> None:
@@ -500,6 +547,8 @@
             )
             if new_holder.host != self._me:
                 self._holder_role.end("another holder took over")
+                self.jobs.is_fenced = False
+            self._standby.record_holder(new_holder.host)
             if not new_holder.is_standby:
                 self._standby.end_discovery()
         self.jobs.set_holder(new_holder)
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -3,6 +3,7 @@
 import collections
 import itertools
 import logging
+import math
 import typing
 
 from chervilwheel import ids
@@ -61,6 +62,9 @@
     :ivar holder: the current holder, None while there is none
     :ivar is_holder_suspect: whether the holder may be lost, so that jobs
         wait that it hasn't received
+    :ivar is_fenced: whether executors obey a holder that this host can't
+        reach, so that new jobs are refused without a holder
+    :ivar ends_at: when this host stops answering jobs, seconds
     :ivar holder_lost_at: when the last holder was lost, seconds
     """
 
@@ -88,6 +92,8 @@
         self._latency = node.metrics.create_histogram("job_ms")
         node.metrics.register_table("jobs_", lambda: self._outcomes)
         node.metrics.register("jobs_running", lambda: len(self._jobs))
+        self.is_fenced = False
+        self.ends_at = math.inf
 
     def __len__(self) -> int:
         return len(self._jobs)
@@ -108,7 +114,12 @@
             )
             self._jobs[job.id] = state
         state.waiting[number] = answered
-        if state.offered_to is None and not self.is_holder_suspect:
+        expected_at = self._heap.clock.now() + job.critical_path_s
+        if state.offered_to is None and expected_at >= self.ends_at:
+            self._answer_draining(state)
+        elif self.holder is None and self.is_fenced:
+            self.expire(self._heap.clock.now())
+        elif state.offered_to is None and not self.is_holder_suspect:
             self._offer(state)
         return number
 
@@ -191,13 +202,13 @@
             if state.offered_to is None:
                 slack_s = state.job.objective_s - state.job.critical_path_s
                 timeout_s = max(NEVER_OFFERED_TIMEOUT_S, slack_s)
-                if now - state.submitted_at >= timeout_s:
+                if self.is_fenced or now - state.submitted_at >= timeout_s:
                     self._end(
                         work.Answer(
                             state.job.id,
                             work.Outcome.REFUSED,
                             RETRY_AFTER_MS,
-                            "no_holder",
+                            "fenced" if self.is_fenced else "no_holder",
                         )
                     )
             elif now - self.holder_lost_at >= HOLDER_LOST_TIMEOUT_S:
@@ -266,6 +277,27 @@
         for answered in state.waiting.values():
             answered(answer)
 
+    def answer_all(self) -> None:
+        """Answer all jobs and cancels before this host ends.
+
+        Jobs go on at another host's holder, where a repeated request finds
+        them.
+        """
+        for state in list(self._jobs.values()):
+            if self.holder is not None and self.holder.host == self._me:
+                self._holder_role.cancel(state.job.id, work.Outcome.LOST)
+            self._answer_draining(state)
+        for number in list(self._pending_cancels):
+            self.resolve_cancel(number, None)
+
+    def _answer_draining(self, state: _JobState) -> None:
+        outcome = work.Outcome.LOST
+        if state.offered_to is None:
+            outcome = work.Outcome.REFUSED
+        self._end(
+            work.Answer(state.job.id, outcome, RETRY_AFTER_MS, "draining")
+        )
+
     def _describe(
         self, state: _JobState, waited_s: float
     ) -> dict[str, typing.Any]:
