Cancels: an acknowledged cancel stands for good

What callers saw: a job whose cancel was acknowledged ran on.

Cause: a cancel was a state of one process's copy of the job. An ended job was added again by its next offer, a new holder or entry host knew nothing of it, and a standby holder, which knows the jobs of its own followers only, took a job that it didn't know for gone.

Change: the leader commits the cancel, of a known job or not, to the log of the control hosts before it is acknowledged, and HolderRole, which all offers pass, answers a cancelled job as cancelled. Entry hosts are sent the committed cancels, for the time in which one of them holds. A standby holder, or a host without one, stops the job and answers 503; the entry host sends the cancel to each new holder before any job. After 45 s without a leader an entry host hands no job on, since a cancel is kept for 60 s.

The command is a field of ReadDocument, so that control hosts of the former version follow the log; they take it for a read.

--- /dev/null
+++ b/chervilwheel/control/canceltable.py
@@ -0,0 +1,164 @@
+"""Cancelled jobs, kept while a request for them may still arrive.
+
+A cancel is a fact about a job's id. The control hosts keep it in their log,
+so that it outlives the job, its holder and any one process. Entry hosts keep
+what the leader sends them, for the time in which one of them holds.
+"""
+
+import abc
+import itertools
+import struct
+import typing
+
+from chervilwheel import ids
+from chervilwheel import messages
+from chervilwheel import timers
+
+# Requests are repeated within seconds; an entry host that was cut off hands
+# no job on after CARRY_S in entryjobs, which is less.
+RETENTION_S = 60.0
+# All jobs that run at the target size at once, 36,000 of one task each, may
+# be cancelled within that time.
+MAX_CANCELS = 50_000
+MS_PER_S = 1_000
+# No id contains it.
+ID_SEPARATOR = "\0"
+_HEAD = struct.Struct("<QQ")
+
+Recorded = typing.Callable[[messages.CancelVerdict], None]
+
+
+class CancelTable:
+    """The ids of cancelled jobs, oldest first, and when each was recorded.
+
+    Its time is that of the leaders that recorded them, and stands still while
+    there is none. So nothing is forgotten early.
+
+    :ivar clock_ms: the time of the newest record, milliseconds
+    :ivar count: number of records so far
+    """
+
+    def __init__(self) -> None:
+        self.clock_ms = 0
+        self.count = 0
+        self._recorded_ms: dict[ids.JobId, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._recorded_ms)
+
+    def __contains__(self, job: ids.JobId) -> bool:
+        return job in self._recorded_ms
+
+    def record(self, jobs: typing.Iterable[ids.JobId], clock_ms: int) -> None:
+        """Record cancelled jobs, and forget those past their retention."""
+        self.clock_ms = max(self.clock_ms, clock_ms)
+        for job in jobs:
+            self._recorded_ms.pop(job, None)
+            self._recorded_ms[job] = self.clock_ms
+            self.count += 1
+        for job in self._expired(self.clock_ms):
+            del self._recorded_ms[job]
+
+    def has_room(self, count: int, clock_ms: int) -> bool:
+        """Return whether a number of jobs can be recorded at a time."""
+        if len(self) + count <= MAX_CANCELS:
+            return True
+        expired = sum(1 for _ in self._expired(clock_ms))
+        return len(self) - expired + count <= MAX_CANCELS
+
+    def since(self, count: int) -> list[ids.JobId]:
+        """Return what was recorded after a number of records."""
+        newest = itertools.islice(
+            reversed(self._recorded_ms), max(0, self.count - count)
+        )
+        return list(newest)[::-1]
+
+    def dump(self) -> bytes:
+        """Encode the table."""
+        count = len(self)
+        times = struct.pack(
+            f"<QQ{count}Q", self.clock_ms, count, *self._recorded_ms.values()
+        )
+        return times + ID_SEPARATOR.join(self._recorded_ms).encode()
+
+    def load(self, data: bytes) -> None:
+        """Add a dumped table to this one."""
+        if not data:
+            return
+        clock_ms, count = _HEAD.unpack_from(data)
+        times = struct.unpack_from(f"<{count}Q", data, _HEAD.size)
+        text = data[_HEAD.size + 8 * count :].decode()
+        jobs = text.split(ID_SEPARATOR) if count else []
+        mine = self._recorded_ms
+        for job, at_ms in zip(jobs, times, strict=True):
+            mine[ids.JobId(job)] = max(at_ms, mine.get(ids.JobId(job), 0))
+        self._recorded_ms = dict(
+            sorted(mine.items(), key=lambda item: item[1])
+        )
+        self.count += count
+        self.record((), clock_ms)
+
+    def _expired(self, clock_ms: int) -> list[ids.JobId]:
+        oldest_ms = clock_ms - int(RETENTION_S * MS_PER_S)
+        return list(
+            itertools.takewhile(
+                lambda job: self._recorded_ms[job] < oldest_ms,
+                self._recorded_ms,
+            )
+        )
+
+
+class CancelStore(abc.ABC):
+    """Where a holder keeps cancelled jobs."""
+
+    @abc.abstractmethod
+    def holds(self, job: ids.JobId) -> bool:
+        """Return whether a job is cancelled or about to be."""
+
+    @abc.abstractmethod
+    def has_room(self, job: ids.JobId) -> bool:
+        """Return whether a job can be recorded."""
+
+    @abc.abstractmethod
+    def record(self, job: ids.JobId, done: Recorded) -> None:
+        """Record a cancelled job.
+
+        :param done: receives SETTLED once that stands for good, else
+            UNSETTLED
+        """
+
+
+class KeptCancels(CancelStore):
+    """The cancelled jobs that an entry host knows of.
+
+    What it records as a holder isn't settled, since it has no quorum.
+
+    :param heap: timers
+    """
+
+    def __init__(self, *, heap: timers.TimerHeap) -> None:
+        self._heap = heap
+        self._table = CancelTable()
+
+    def __len__(self) -> int:
+        return len(self._table)
+
+    def holds(self, job: ids.JobId) -> bool:
+        """Return whether a job is cancelled."""
+        return job in self._table
+
+    def has_room(self, job: ids.JobId) -> bool:
+        """Return whether a job can be recorded."""
+        return self.holds(job) or self._table.has_room(1, self._clock_ms())
+
+    def record(self, job: ids.JobId, done: Recorded) -> None:
+        """Record a job cancelled by this host."""
+        self.add([job])
+        done(messages.CancelVerdict.UNSETTLED)
+
+    def add(self, jobs: typing.Iterable[ids.JobId]) -> None:
+        """Add jobs that a leader has recorded, which bounds their number."""
+        self._table.record(jobs, self._clock_ms())
+
+    def _clock_ms(self) -> int:
+        return int(self._heap.clock.now() * MS_PER_S)
--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -13,6 +13,7 @@
 from chervilwheel import messages
 from chervilwheel import peers
 from chervilwheel import replica
+from chervilwheel.control import cancellog
 from chervilwheel.control import deltas
 from chervilwheel.control import documents
 from chervilwheel.control import evacuations
@@ -108,12 +109,19 @@
         )
         self._relays = relay.Relays(me=node.cfg.id, links=node.links)
         self.machine = documents.DocumentMachine(
-            applied=self._on_document, zones_changed=self._on_zones
+            applied=self._on_document,
+            zones_changed=self._on_zones,
+            cancelled=self._on_jobs_cancelled,
         )
+        self._cancel_feed = cancellog.CancelFeed(table=self.machine.cancels)
         self._group = self._open_group(node.cfg)
         self._calls = groupcalls.GroupCalls(
             host=self._group, links=node.links, heap=self._heap
         )
+        self._cancels = cancellog.LoggedCancels(
+            calls=self._calls, heap=self._heap, table=self.machine.cancels
+        )
+        self.holder_role.cancels = self._cancels
         self._zone_orders = zoneorders.ZoneOrders(
             calls=self._calls,
             heap=self._heap,
@@ -417,6 +425,7 @@
         )
         registry.register("syncs", lambda: self._group.syncs)
         registry.register("is_disk_failed", lambda: self._group.is_halted)
+        registry.register("cancels", lambda: len(self.machine.cancels))
         registry.register_table("holder_", self.holder_role.metric_values)
 
     def _control_hosts(self) -> list[ids.InstanceId]:
@@ -477,6 +486,10 @@
             is_receiver=self._is_sender_for(message.holder),
         )
         self._push(link.peer)
+        if message.keeps_cancels:
+            self._cancel_feed.add(link)
+            if self.holder_role.is_active:
+                self._cancel_feed.send_to(link.peer)
         is_new = previous is None or previous.link is not link
         if is_new:
             reports = tuple(each for _, each in self._reports.values())
@@ -541,6 +554,10 @@
             self._is_push_due = True
             self._heap.call_later(0.0, self._push_all)
 
+    def _on_jobs_cancelled(self) -> None:
+        if self.holder_role.is_active:
+            self._cancel_feed.send()
+
     def _on_zones(self, table: evacuations.ZoneTable) -> None:
         newest = table.audit[-1].origin if table.audit else ""
         self._update_zones(table.revision, table.evacuated, newest)
@@ -639,6 +656,7 @@
         self._remove_old_reports()
         known = len(self.holder_role.entries)
         self.holder_role.remove_silent_entries()
+        self._cancel_feed.keep(self.holder_role.entries)
         self._is_entry_news_due |= len(self.holder_role.entries) != known
         if self.holder_role.is_active:
             self.holder_role.send_status(self._status())
@@ -681,6 +699,9 @@
             self.holder_role.send_status(self._status())
 
     def _become_holder(self) -> None:
+        self._cancels.begin()
+        self._cancel_feed.restart()
+        self._cancel_feed.send()
         live = [
             (at, report)
             for at, report in self._reports.values()
--- a/chervilwheel/control/documents.py
+++ b/chervilwheel/control/documents.py
@@ -10,6 +10,7 @@
 from chervilwheel import errors
 from chervilwheel import grouphost
 from chervilwheel import ids
+from chervilwheel.control import canceltable
 from chervilwheel.control import deltas
 from chervilwheel.control import evacuations
 
@@ -109,12 +110,20 @@
 
 
 class ReadDocument(typing.NamedTuple):
-    """Read the newest document.
+    """Read the newest document, or record cancelled jobs.
+
+    Both are one command, so that a host of a former version can follow the
+    log; to it this is a read.
 
     :ivar known: a version that the reader has; its data isn't returned
+    :ivar cancelled: cancelled jobs to record; nothing is read then
+    :ivar cancelled_at_ms: the leader's time for them, as in
+        :class:`canceltable.CancelTable`
     """
 
     known: int = 0
+    cancelled: tuple[ids.JobId, ...] = ()
+    cancelled_at_ms: int = 0
 
 
 class DocumentReply(typing.NamedTuple):
@@ -125,10 +134,14 @@
 
 
 class ControlState(typing.NamedTuple):
-    """The whole state once a zone was ordered."""
+    """The whole state once a zone was ordered or a job cancelled.
+
+    :ivar cancels: the cancelled jobs, empty without any
+    """
 
     document: DocumentReply
     zones: evacuations.ZoneTable
+    cancels: bytes = b""
 
 
 CODEC = codec.Codec(
@@ -152,6 +165,7 @@
 MAX_CHAIN_DELTAS = 64
 
 Applied = typing.Callable[[int, bytes], None]
+Cancelled = typing.Callable[[], None]
 ZonesChanged = typing.Callable[[evacuations.ZoneTable], None]
 
 
@@ -163,10 +177,12 @@
 
 
 class DocumentMachine(grouphost.Machine):
-    """State machine that stores the newest document and the evacuations.
+    """State machine of the document, the evacuations and cancelled jobs.
 
     :param applied: receives the version and bytes of each newer document
     :param zones_changed: receives each newer table of evacuations
+    :param cancelled: called when cancelled jobs were recorded
+    :ivar cancels: the cancelled jobs
     """
 
     def __init__(
@@ -174,10 +190,13 @@
         *,
         applied: Applied,
         zones_changed: ZonesChanged = lambda _table: None,
+        cancelled: Cancelled = lambda: None,
     ) -> None:
         self.version = 0
         self.data = b""
         self.zones = evacuations.ZoneTable()
+        self.cancels = canceltable.CancelTable()
+        self._cancelled = cancelled
         self._applied = applied
         self._zones_changed = zones_changed
         self._last_wall_ms = 0
@@ -221,9 +240,10 @@
         Without any order this is a form that earlier versions read.
         """
         document = DocumentReply(self.version, self.data)
-        if not self.zones.revision:
+        cancels = self.cancels.dump() if len(self.cancels) else b""
+        if not self.zones.revision and not cancels:
             return CODEC.encode(document)
-        return CODEC.encode(ControlState(document, self.zones))
+        return CODEC.encode(ControlState(document, self.zones, cancels))
 
     def load(self, data: bytes) -> None:
         """Restore a dumped state where it is newer.
@@ -235,6 +255,7 @@
         state = CODEC.decode(data)
         if isinstance(state, ControlState):
             self._store_zones_if_newer(state.zones)
+            self.cancels.load(state.cancels)
             state = state.document
         self._store_if_newer(state.version, state.data)
 
@@ -251,6 +272,10 @@
         if isinstance(command, ChangeDocument):
             self._change(command)
             return DocumentReply(self.version, b"")
+        if command.cancelled:
+            self.cancels.record(command.cancelled, command.cancelled_at_ms)
+            self._cancelled()
+            return DocumentReply(self.version, b"")
         is_known = command.known == self.version
         return DocumentReply(self.version, b"" if is_known else self.data)
 
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -9,6 +9,7 @@
 from chervilwheel import ids
 from chervilwheel import messages
 from chervilwheel import peers
+from chervilwheel.control import canceltable
 from chervilwheel.control import deltas
 from chervilwheel.control import documents
 from chervilwheel.control import entryjobs
@@ -100,6 +101,8 @@
             notify=lambda notice: self.jobs.handle_notice(notice, self._me),
             lease_limits=node.cfg.lease_limits,
         )
+        self._cancels = canceltable.KeptCancels(heap=node.heap)
+        self._holder_role.cancels = self._cancels
         self._relays = relay.Relays(
             me=self._me, links=node.links, may_forward=self._may_forward
         )
@@ -132,6 +135,7 @@
         links.handle(messages.JobAnswer, self._on_answer)
         links.handle(messages.JobLosses, self._on_losses)
         links.handle(messages.JobCancelled, self._on_cancelled)
+        links.handle(messages.CancelNews, self._on_cancel_news)
         links.on_link_lost(self._on_lost)
         self._heap.call_every(HEARTBEAT_INTERVAL_S, self._send_heartbeat)
         self._heap.call_every(HOLDER_CHECK_INTERVAL_S, self._check_holder)
@@ -269,6 +273,7 @@
             evacuated=tuple(sorted(self._zone_watch.view.evacuated)),
             stamp=now,
             has_quorum=self._standby.can_elect(now),
+            keeps_cancels=True,
         )
 
     def _on_zones_changed(self) -> None:
@@ -525,7 +530,15 @@
     def _on_cancelled(
         self, _link: peers.MessageLink, message: messages.JobCancelled
     ) -> None:
-        self.jobs.resolve_cancel(message.number, message.is_known)
+        self.jobs.resolve_cancel(
+            message.number, message.is_known, message.verdict
+        )
+
+    def _on_cancel_news(
+        self, _link: peers.MessageLink, message: messages.CancelNews
+    ) -> None:
+        self._cancels.add(message.jobs)
+        self._holder_role.cancelled(message.jobs)
 
     def _on_document(
         self, link: peers.MessageLink, push: messages.DocumentPush
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -1,12 +1,14 @@
 """The jobs of an entry host's callers."""
 
 import collections
+import enum
 import itertools
 import logging
 import typing
 
 from chervilwheel import ids
 from chervilwheel import messages
+from chervilwheel.control import canceltable
 from chervilwheel.control import holding
 from chervilwheel.control import runtime
 from chervilwheel.workers import work
@@ -20,9 +22,29 @@
 NEVER_OFFERED_TIMEOUT_S = 0.1
 RETRY_AFTER_MS = 1_000
 CANCEL_TIMEOUT_S = 1.0
+# After this time without a leader a job isn't handed on: it may have been
+# cancelled there, and the cancel be forgotten soon.
+CARRY_S = 0.75 * canceltable.RETENTION_S
+# Cancels without an acknowledgement, for the next holder.
+MAX_UNSETTLED = 10_000
+
+
+class CancelResult(enum.Enum):
+    """What became of a caller's cancel.
+
+    STOPPED and GONE stand for good: the job was stopped, or doesn't exist and
+    won't run. UNSETTLED means that a later attempt will tell, FULL that
+    nothing was done since too many cancels are kept.
+    """
+
+    STOPPED = "stopped"
+    GONE = "gone"
+    UNSETTLED = "unsettled"
+    FULL = "full"
+
 
 Answered = typing.Callable[[work.Answer], None]
-CancelCallback = typing.Callable[[bool | None], None]
+CancelCallback = typing.Callable[[CancelResult], None]
 
 
 class HolderId(typing.NamedTuple):
@@ -33,6 +55,24 @@
     is_standby: bool
 
 
+class _Cancel(typing.NamedTuple):
+    """A cancel on its way to a holder."""
+
+    job: ids.JobId
+    done: CancelCallback
+
+
+class _Unsettled:
+    """A cancel that no leader has acknowledged.
+
+    :ivar sent_to: the holder that it was sent to, None to send it again
+    """
+
+    def __init__(self, *, expires_at: float) -> None:
+        self.expires_at = expires_at
+        self.sent_to: HolderId | None = None
+
+
 class _JobState:
     """The state of a job and its callers' callbacks.
 
@@ -82,7 +122,9 @@
         self._jobs: dict[ids.JobId, _JobState] = {}
         # Differs from the numbers before a restart.
         self._numbers = itertools.count(int(self._heap.clock.now() * 1000) + 1)
-        self._pending_cancels: dict[int, CancelCallback] = {}
+        self._leader_seen_at = self.holder_lost_at
+        self._pending_cancels: dict[int, _Cancel] = {}
+        self._unsettled: dict[ids.JobId, _Unsettled] = {}
         self._outcomes: collections.Counter[str] = collections.Counter()
         self._latency = node.metrics.create_histogram("job_ms")
         node.metrics.register_table("jobs_", lambda: self._outcomes)
@@ -126,36 +168,72 @@
             extra=self._describe(state, waited_s),
         )
         if state.offered_to is not None and self.holder is not None:
-            self._send_cancel(self.holder, 0, job)
+            self._withdraw(self.holder.host, job)
 
     def cancel(self, job: ids.JobId, done: CancelCallback) -> None:
         """Cancel a job at a caller's request.
 
-        :param done: receives whether the holder knew the job, None when
-            there is no holder or no reply
+        Until a leader has acknowledged it, each new holder is sent the cancel
+        before any job.
         """
-        if self.holder is None:
-            done(None)
+        if job not in self._unsettled and not self._has_room():
+            done(CancelResult.FULL)
             return
-        number = next(self._numbers)
-        self._pending_cancels[number] = done
-        self._heap.call_later(
-            CANCEL_TIMEOUT_S, lambda: self.resolve_cancel(number, None)
-        )
-        self._send_cancel(self.holder, number, job)
+        expires_at = self._heap.clock.now() + canceltable.RETENTION_S
+        self._unsettled[job] = _Unsettled(expires_at=expires_at)
+        if self.holder is not None:
+            self._send_cancel(self.holder, job, done)
+            return
+        state = self._jobs.get(job)
+        if state is not None and state.offered_to is None:
+            self._end(
+                work.Answer(job, work.Outcome.CANCELLED, reason="cancelled")
+            )
+        done(CancelResult.UNSETTLED)
 
-    def resolve_cancel(self, number: int, is_known: bool | None) -> None:
-        """Report the result of a cancel request, unless it timed out."""
-        done = self._pending_cancels.pop(number, None)
-        if done is not None:
-            done(is_known)
+    def resolve_cancel(
+        self, number: int, is_known: bool, verdict: messages.CancelVerdict
+    ) -> None:
+        """Process the reply to a cancel, unless it timed out."""
+        cancel = self._pending_cancels.pop(number, None)
+        if cancel is None:
+            return
+        if verdict is not messages.CancelVerdict.UNSETTLED:
+            self._unsettled.pop(cancel.job, None)
+        elif self.holder is not None and not self.holder.is_standby:
+            self._repeat_cancel(cancel.job)
+        results = {
+            messages.CancelVerdict.SETTLED: (
+                CancelResult.STOPPED if is_known else CancelResult.GONE
+            ),
+            messages.CancelVerdict.UNSETTLED: CancelResult.UNSETTLED,
+            messages.CancelVerdict.FULL: CancelResult.FULL,
+        }
+        cancel.done(results[verdict])
 
     def set_holder(self, holder: HolderId) -> None:
         """Set the holder and offer it the jobs that it hasn't received."""
         self.holder = holder
+        now = self._heap.clock.now()
+        for job in list(self._unsettled):
+            if now >= self._unsettled[job].expires_at:
+                del self._unsettled[job]
+            elif self._unsettled[job].sent_to != holder:
+                self._send_cancel(holder, job, lambda _result: None)
         for state in list(self._jobs.values()):
-            if state.offered_to != holder or not state.is_offer_current:
+            if state.offered_to == holder and state.is_offer_current:
+                continue
+            known_at = max(state.submitted_at, self._leader_seen_at)
+            if not holder.is_standby and now - known_at > CARRY_S:
+                self._end(
+                    work.Answer(
+                        state.job.id, work.Outcome.LOST, 0, "carried_too_long"
+                    )
+                )
+            else:
                 self._offer(state)
+        if not holder.is_standby:
+            self._leader_seen_at = now
 
     def clear_holder(self) -> None:
         """Record that there is no holder; the jobs wait for the next one."""
@@ -163,6 +241,8 @@
         self.holder_lost_at = self._heap.clock.now()
         for state in self._jobs.values():
             state.is_offer_current = False
+        for unsettled in self._unsettled.values():
+            unsettled.sent_to = None
 
     def handle_notice(
         self, notice: work.Notice, sender: ids.InstanceId
@@ -206,15 +286,54 @@
                     )
                 )
 
+    def _has_room(self) -> bool:
+        """Return whether another cancel can be kept."""
+        if len(self._unsettled) >= MAX_UNSETTLED:
+            now = self._heap.clock.now()
+            self._unsettled = {
+                job: unsettled
+                for job, unsettled in self._unsettled.items()
+                if unsettled.expires_at > now
+            }
+        return len(self._unsettled) < MAX_UNSETTLED
+
     def _send_cancel(
-        self, holder: HolderId, number: int, job: ids.JobId
+        self, holder: HolderId, job: ids.JobId, done: CancelCallback
     ) -> None:
+        number = next(self._numbers)
+        self._pending_cancels[number] = _Cancel(job, done)
+        self._unsettled[job].sent_to = holder
+        self._heap.call_later(
+            CANCEL_TIMEOUT_S, lambda: self._time_cancel_out(number)
+        )
         if holder.host == self._me:
-            outcome = holding.cancel_outcome(number)
-            self.resolve_cancel(number, self._holder_role.cancel(job, outcome))
+            self._holder_role.cancel(
+                job,
+                lambda is_known, verdict: self.resolve_cancel(
+                    number, is_known, verdict
+                ),
+            )
             return
         self._send(holder.host, messages.JobCancel(number, job))
 
+    def _time_cancel_out(self, number: int) -> None:
+        cancel = self._pending_cancels.pop(number, None)
+        if cancel is not None:
+            self._repeat_cancel(cancel.job)
+            cancel.done(CancelResult.UNSETTLED)
+
+    def _repeat_cancel(self, job: ids.JobId) -> None:
+        """Send a cancel again with the next status of the holder."""
+        if job in self._unsettled:
+            self._unsettled[job].sent_to = None
+
+    def _withdraw(self, host: ids.InstanceId, job: ids.JobId) -> None:
+        """Have a holder stop a job that it isn't to run any more."""
+        if host == self._me:
+            self._holder_role.withdraw(job)
+        else:
+            self._send(host, messages.JobCancel(0, job))
+
     def _offer(self, state: _JobState) -> None:
         if self.holder is None:
             return
@@ -223,8 +342,7 @@
             state.offers += 1
             state.had_standby |= former is not None and former.is_standby
             if former is not None and former.host != self._me:
-                cancel = messages.JobCancel(0, state.job.id)
-                self._send(former.host, cancel)
+                self._withdraw(former.host, state.job.id)
         state.offered_to = self.holder
         state.is_offer_current = True
         waited_s = self._heap.clock.now() - state.submitted_at
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -13,6 +13,7 @@
 from chervilwheel import messages
 from chervilwheel import peers
 from chervilwheel import timers
+from chervilwheel.control import canceltable
 from chervilwheel.control import enginerunner
 from chervilwheel.control import tokens
 from chervilwheel.workers import engine
@@ -28,15 +29,8 @@
 ENTRY_REMOVAL_S = 10.0
 
 Notify = typing.Callable[[work.Notice], None]
-
-
-def cancel_outcome(number: int) -> work.Outcome:
-    """Return the outcome of a job that is cancelled.
-
-    :param number: the number of the cancel request; 0 when the job's
-        callers disconnected or its entry host changed to another holder
-    """
-    return work.Outcome.CANCELLED if number else work.Outcome.LOST
+# Receives whether the job was known and unfinished, and the verdict.
+Cancelled = typing.Callable[[bool, messages.CancelVerdict], None]
 
 
 class EntryLink(typing.NamedTuple):
@@ -62,6 +56,7 @@
         holder
     :param notify: receives notices about this host's own jobs
     :param lease_limits: the executors' limits for leases
+    :ivar cancels: the cancelled jobs, which are never started here
     """
 
     def __init__(
@@ -81,6 +76,10 @@
         self._send_not_holder = send_not_holder
         self._notify = notify
         self._lease_limits = lease_limits
+        self.cancels: canceltable.CancelStore = canceltable.KeptCancels(
+            heap=heap
+        )
+        self._refused_cancels = 0
         self._runner: enginerunner.EngineRunner | None = None
         self._highest_token = 0
         self.entries: dict[ids.InstanceId, EntryLink] = {}
@@ -189,12 +188,37 @@
 
     def offer(self, job: work.Job) -> None:
         """Submit a job of this host."""
+        self._offer(job, self._me)
+
+    def withdraw(self, job: ids.JobId) -> None:
+        """Stop a job whose callers or entry host have left this holder."""
         if self._runner is not None:
-            self._runner.offer(job, self._me)
+            self._runner.cancel(job, work.Outcome.LOST)
+
+    def cancel(self, job: ids.JobId, done: Cancelled) -> None:
+        """Cancel a job at a caller's request, for good.
 
-    def cancel(self, job: ids.JobId, outcome: work.Outcome) -> bool:
-        """Cancel a job of this host; return whether it had not ended yet."""
-        return self._runner is not None and self._runner.cancel(job, outcome)
+        A job that isn't known here may be offered later.
+        """
+        if self._runner is None:
+            done(False, messages.CancelVerdict.UNSETTLED)
+            return
+        if not self.cancels.has_room(job):
+            self._refused_cancels += 1
+            _LOG.warning(
+                "holding: a cancel is refused, too many are kept",
+                extra={"job": job},
+            )
+            done(False, messages.CancelVerdict.FULL)
+            return
+        is_known = self._runner.cancel(job, work.Outcome.CANCELLED)
+        self.cancels.record(job, lambda verdict: done(is_known, verdict))
+
+    def cancelled(self, jobs: typing.Iterable[ids.JobId]) -> None:
+        """Stop jobs that another holder has cancelled."""
+        if self._runner is not None:
+            for job in jobs:
+                self._runner.cancel(job, work.Outcome.CANCELLED)
 
     def record_entry(
         self,
@@ -262,6 +286,7 @@
             "waiting": sum(job_engine.waiting_by_queue().values()),
             "starts_total": job_engine.starts,
             "refusals_total": job_engine.refusals,
+            "refused_cancels_total": self._refused_cancels,
             "refusals_closed_zone_total": job_engine.closed_zone_refusals,
             "closed_executors": job_engine.count_closed(),
             "cold_executors": job_engine.count_cold(self._heap.clock.now()),
@@ -306,7 +331,29 @@
         if self._runner is None:
             self._send_not_holder(link)
         else:
-            self._runner.offer(message.job, link.peer)
+            self._offer(message.job, link.peer)
+
+    def _offer(self, job: work.Job, entry: ids.InstanceId) -> None:
+        if self._runner is None:
+            return
+        known = self._runner.engine.jobs.get(job.id)
+        is_completed = (
+            known is not None
+            and known.answer is not None
+            and known.answer.outcome is work.Outcome.COMPLETED
+        )
+        if is_completed or not self.cancels.holds(job.id):
+            self._runner.offer(job, entry)
+            return
+        _LOG.info(
+            "holding: a cancelled job is offered again",
+            extra={"job": job.id, "offers": job.offers},
+        )
+        self._runner.cancel(job.id, work.Outcome.CANCELLED)
+        answer = work.Answer(
+            job.id, work.Outcome.CANCELLED, reason="cancelled"
+        )
+        self._on_notice(entry, answer)
 
     def _on_cancel(
         self, link: peers.MessageLink, message: messages.JobCancel
@@ -315,10 +362,14 @@
         if self._runner is None:
             self._send_not_holder(link)
             return
-        is_known = self._runner.cancel(
-            message.job, cancel_outcome(message.number)
-        )
-        link.send(messages.JobCancelled(message.number, is_known))
+        if not message.number:
+            self.withdraw(message.job)
+            return
+
+        def done(is_known: bool, verdict: messages.CancelVerdict) -> None:
+            link.send(messages.JobCancelled(message.number, is_known, verdict))
+
+        self.cancel(message.job, done)
 
     def _on_notice(self, entry: ids.InstanceId, notice: work.Notice) -> None:
         if entry == self._me:
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -335,11 +335,34 @@
     job: ids.JobId
 
 
+class CancelVerdict(enum.Enum):
+    """What became of a cancel.
+
+    SETTLED, which former versions send as no text, means that it stands for
+    good. UNSETTLED ones may be undone by another holder; FULL ones weren't
+    carried out, since too many are kept.
+    """
+
+    SETTLED = ""
+    UNSETTLED = "unsettled"
+    FULL = "full"
+
+
 class JobCancelled(typing.NamedTuple):
-    """Reply to a cancellation: whether the job was known and unfinished."""
+    """Reply to a cancellation.
+
+    :ivar is_known: whether the job was known and unfinished
+    """
 
     number: int
     is_known: bool
+    verdict: CancelVerdict = CancelVerdict.SETTLED
+
+
+class CancelNews(typing.NamedTuple):
+    """Cancelled jobs in the log of the control hosts."""
+
+    jobs: tuple[ids.JobId, ...]
 
 
 class ExecutorNews(typing.NamedTuple):
@@ -363,6 +386,7 @@
     :ivar has_quorum: whether a control host has told it of a quorum recently
     :ivar is_probe: whether the receiver is to answer at once, an entry host
         with its heartbeat and a control host with its status
+    :ivar keeps_cancels: whether it takes :class:`CancelNews`
     """
 
     entry: ids.InstanceId
@@ -377,6 +401,7 @@
     echo: float = 0.0
     has_quorum: bool = False
     is_probe: bool = False
+    keeps_cancels: bool = False
 
 
 class EntryPeer(typing.NamedTuple):
@@ -503,5 +528,6 @@
         Relayed,
         EntryNews,
         ExecutorSpeeds,
+        CancelNews,
     ],
 )
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -332,7 +332,13 @@
 struct JobLosses { job @0 :Text; losses @1 :List(TaskLoss); }
 
 struct JobCancel { number @0 :UInt64; job @1 :Text; }
-struct JobCancelled { number @0 :UInt64; isKnown @1 :Bool; }
+struct JobCancelled {
+  number @0 :UInt64;
+  isKnown @1 :Bool;
+  verdict @2 :Text;
+}
+
+struct CancelNews { jobs @0 :List(Text); }
 
 struct ExecutorNews { reports @0 :List(ExecutorReport); }
 
@@ -349,6 +355,7 @@
   echo @9 :Float64;
   hasQuorum @10 :Bool;
   isProbe @11 :Bool;
+  keepsCancels @12 :Bool;
 }
 
 struct EntryPeer { host @0 :Text; zone @1 :Text; }
@@ -426,5 +433,6 @@
     entryNews @31 :EntryNews;
     jobLosses @32 :JobLosses;
     executorSpeeds @33 :ExecutorSpeeds;
+    cancelNews @34 :CancelNews;
   }
 }
--- a/chervilwheel/schema/records.capnp
+++ b/chervilwheel/schema/records.capnp
@@ -155,7 +155,12 @@
 }
 
 struct PutDocument { version @0 :UInt64; data @1 :Data; }
-struct ReadDocument { unused @0 :Void; known @1 :UInt64; }
+struct ReadDocument {
+  unused @0 :Void;
+  known @1 :UInt64;
+  cancelled @2 :List(Text);
+  cancelledAtMs @3 :UInt64;
+}
 struct DocumentReply { version @0 :UInt64; data @1 :Data; }
 
 struct ChangeDocument {
@@ -197,7 +202,11 @@
   audit @2 :List(AuditEntry);
 }
 
-struct ControlState { document @0 :DocumentReply; zones @1 :ZoneTable; }
+struct ControlState {
+  document @0 :DocumentReply;
+  zones @1 :ZoneTable;
+  cancels @2 :Data;
+}
 
 struct Splice { start @0 :UInt64; size @1 :UInt64; inserted @2 :Data; }
 struct Delta { splices @0 :List(Splice); checksum @1 :UInt32; }
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -743,6 +743,6 @@
 
 def _is_final(answer: work.Answer) -> bool:
     """Return whether a repeated submission gets the same answer again."""
-    if answer.outcome is work.Outcome.COMPLETED:
+    if answer.outcome in (work.Outcome.COMPLETED, work.Outcome.CANCELLED):
         return True
     return answer.reason == CRASHES
--- /dev/null
+++ b/tests/test_cancels.py
@@ -0,0 +1,541 @@
+"""Acknowledged cancels stand, whichever hosts are cut off or restarted."""
+
+import collections
+import json
+import types
+
+import testtools
+
+from chervilwheel import ids
+from chervilwheel.control import canceltable
+from chervilwheel.control import documents
+from chervilwheel.control import entryhost
+from chervilwheel.control import entryjobs
+from chervilwheel.workers import ports
+from chervilwheel.workers import work
+from loadtool import hostworld
+from tests import adapter
+from tests import test_hosts
+from tests import workerworld
+
+clientapi = adapter.load("clientapi")
+JOB = "5c0e7a21d94b36f8"
+WORK_S = 0.9
+# Time in which a cancelled job may still have tasks started.
+CANCEL_S = 3.0
+CUT_S = 5.5
+
+
+class QueueDecoder(documents.Decoder):
+    """Decodes any bytes to a document with one queue."""
+
+    def decode(self, data):
+        """Return a document whose version is the number in the bytes."""
+        queue = documents.Queue(
+            name="q",
+            host="jobs.example",
+            prefix="/q/",
+            service=ids.ServiceId("service"),
+            priority=0,
+            attempts=3,
+            stretch=1.6,
+            target_ms=60_000,
+            timeout_ms=60_000,
+        )
+        return documents.Document(
+            int(data), (queue,), (), documents.Bounds(), data
+        )
+
+
+class Executors:
+    """Executors that run every task for its time, shared by all hosts.
+
+    :ivar starts: time, host and task of each start
+    """
+
+    def __init__(self):
+        self.starts = []
+        self._ends_at = collections.defaultdict(dict)
+        self._ended = collections.defaultdict(list)
+        self._counts = collections.Counter()
+
+    def start(self, order, host, now):
+        """Begin a run."""
+        runs = self._ends_at[order.executor]
+        if order.task not in runs:
+            self.starts.append((now, host, order.task))
+            runs[order.task] = (order.run, now + WORK_S)
+
+    def stop(self, order):
+        """End a run."""
+        run, _ = self._ends_at[order.executor].get(order.task, (0, 0))
+        if run == order.run:
+            self._end(order.executor, order.task, work.EndKind.STOPPED)
+
+    def lists(self, order, now):
+        """Return what runs on an executor and what has ended there."""
+        runs = self._ends_at[order.executor]
+        for task, (_, ends_at) in list(runs.items()):
+            if ends_at <= now:
+                self._end(order.executor, task, work.EndKind.DONE)
+        ended = [
+            end
+            for end in self._ended[order.executor]
+            if end.number > order.acked_upto
+        ]
+        self._ended[order.executor] = ended
+        running = [
+            work.RunStatus(
+                task, run, int(100 * (1 - (ends_at - now) / WORK_S))
+            )
+            for task, (run, ends_at) in runs.items()
+        ]
+        return tuple(running), tuple(ended)
+
+    def _end(self, executor, task, kind):
+        run, _ = self._ends_at[executor].pop(task)
+        self._counts[executor] += 1
+        self._ended[executor].append(
+            work.RunEnd(self._counts[executor], task, run, kind)
+        )
+
+
+class WorkingPort(ports.ExecutorPort):
+    """A host's port to the shared executors."""
+
+    def __init__(self, heap, executors):
+        self._heap = heap
+        self._host = heap._host
+        self._executors = executors
+
+    def start(self, order, done):
+        """Begin a run."""
+        self._executors.start(order, self._host, self._heap.clock.now())
+        verdict = work.StartVerdict.STARTED
+        self._answer(lambda: done(verdict, self._clock_ms()))
+
+    def stop(self, order, done):
+        """End a run."""
+        self._executors.stop(order)
+        self._answer(lambda: done(True, self._clock_ms()))
+
+    def hold(self, order, done):
+        """Return the lists."""
+
+        def answer():
+            running, ended = self._executors.lists(
+                order, self._heap.clock.now()
+            )
+            done(
+                work.HoldAnswer(
+                    work.HoldVerdict.HELD, self._clock_ms(), running, ended
+                )
+            )
+
+        self._heap.call_later(min(order.wait_ms / 1000, 0.02) + 0.002, answer)
+
+    def _answer(self, callback):
+        self._heap.call_later(0.002, callback)
+
+    def _clock_ms(self):
+        return int(self._heap.clock.now() * 1000)
+
+
+class Exchange:
+    """A request of a client and its response."""
+
+    def __init__(self, method, path, body=b""):
+        self.request = types.SimpleNamespace(
+            method=method,
+            target=path,
+            headers={"host": "jobs.example", "request-timeout-ms": "30000"},
+            body=body,
+        )
+        self.responses = []
+        self.on_disconnect = None
+
+    @property
+    def has_responded(self):
+        """Whether there is a response."""
+        return bool(self.responses)
+
+    @property
+    def status(self):
+        """The status of the response, 0 without one."""
+        return self.responses[0].status if self.responses else 0
+
+    @property
+    def retry_after(self):
+        """When to come back."""
+        return dict(self.responses[0].headers).get("Retry-After", "")
+
+    @property
+    def state(self):
+        """The body of the response."""
+        return json.loads(self.responses[0].body)
+
+    def respond(self, response):
+        """Record the response."""
+        self.responses.append(response)
+
+
+class CancelTestCase(testtools.TestCase):
+    """Base class: clients of hosts in virtual time."""
+
+    def setUp(self):
+        super().setUp()
+        self.executors = Executors()
+        self.world = hostworld.World(
+            controls=3,
+            entries=4,
+            zones=("north",),
+            decoder=QueueDecoder(),
+            make_port=lambda heap: WorkingPort(heap, self.executors),
+        )
+        self.addCleanup(self.world.close)
+        self.world.run(3.0)
+        self.assertTrue(self.world.put_document(1))
+        self.world.run(2.0)
+        self.report_executors()
+        self.world.run(2.0)
+        self.hosts = list(self.world.entries)
+
+    def report_executors(self):
+        """Report the executors at every control host."""
+        for control in self.world.controls.values():
+            for number in range(6):
+                control.report(test_hosts.report(number, zone="north"))
+
+    def call(self, number, method, *, job=JOB, steps=0, prefix="/q/"):
+        """Send a request to an entry host.
+
+        :param steps: number of steps of the job that is handed in
+        """
+        body = b""
+        if steps:
+            step = {"count": 2, "cpu": 8000, "memMb": 64, "estimatedMs": 900}
+            body = json.dumps(
+                {
+                    "spec": "spec",
+                    "bestEffort": True,
+                    "steps": [
+                        step | ({"dependsOn": [n - 1]} if n else {})
+                        for n in range(steps)
+                    ],
+                }
+            ).encode()
+        entry = self.world.entries[self.hosts[number]]
+        exchange = Exchange(method, f"{prefix}{job}", body)
+        clientapi.ClientApi(entry=entry).handle(exchange)
+        return exchange
+
+    def submit(self, number, *, steps, job=JOB):
+        """Hand a job in and wait until it runs."""
+        exchange = self.call(number, "POST", steps=steps, job=job)
+        self.world.run(0.4)
+        self.assertGreater(len(self.executors.starts), 0)
+        return exchange
+
+    def cancel(self, numbers, job=JOB):
+        """Cancel a job: attempts at the hosts in turn until acknowledged.
+
+        :returns: the time of the acknowledgement
+        """
+        for attempt in range(30):
+            number = numbers[attempt % len(numbers)]
+            exchange = self.call(number, "DELETE", job=job)
+            self.world.run(0.05)
+            while not exchange.has_responded:
+                self.world.run(0.05)
+            if exchange.status in (200, 410):
+                return self.world.clock.now()
+        return self.fail("not acknowledged")
+
+    def cut_off(self, number):
+        """Cut an entry host off from all other hosts."""
+        host = self.hosts[number]
+        others = [each for each in self.world.nodes if each != host]
+        self.world.cut_off(host, others)
+
+    def restart_entry(self, number):
+        """Restart an entry host, which loses all that it knew."""
+        host = self.hosts[number]
+        self.world.stop(host)
+        self.world.run(0.5)
+        node = self.world._node(host, "entry", self.world._seeds)
+        self.world.entries[host] = entryhost.EntryHost(
+            node=node,
+            decoder=QueueDecoder(),
+            port=WorkingPort(node.heap, self.executors),
+        )
+        self.world.run(2.0)
+
+    def starts_since(self, at, *, by=None):
+        """List the starts after a time, of some hosts only."""
+        return [
+            start
+            for start in self.executors.starts
+            if start[0] > at and (by is None or start[1] in by)
+        ]
+
+
+class RepeatedRequestTest(CancelTestCase):
+    """A request that arrives again after the acknowledgement of a cancel."""
+
+    def test_a_repeated_request_does_not_start_a_cancelled_job(self):
+        post = self.submit(0, steps=1)
+        acked_at = self.cancel([0])
+        self.assertEqual(200, post.status)
+        self.world.run(5.0)
+        again = self.call(1, "POST", steps=1)
+        self.world.run(2.0)
+        self.assertEqual([], self.starts_since(acked_at))
+        self.assertEqual(post.responses, again.responses)
+
+    def test_a_request_repeated_after_the_job_was_purged_starts_nothing(self):
+        self.submit(0, steps=1)
+        acked_at = self.cancel([1])
+        self.world.run(30.0)
+        self.call(2, "POST", steps=1)
+        self.world.run(2.0)
+        self.assertEqual([], self.starts_since(acked_at))
+
+    def test_a_request_that_arrives_after_its_cancel_starts_nothing(self):
+        acked_at = self.cancel([0])
+        post = self.call(1, "POST", steps=1)
+        self.world.run(2.0)
+        self.assertEqual([], self.starts_since(acked_at))
+        self.assertEqual(200, post.status)
+
+    def test_a_new_leader_does_not_start_a_cancelled_job(self):
+        self.submit(0, steps=1)
+        acked_at = self.cancel([1])
+        self.world.stop(self.world.holder())
+        self.world.run(4.0)
+        self.call(2, "POST", steps=1)
+        self.world.run(2.0)
+        self.assertEqual([], self.starts_since(acked_at))
+
+    def test_cancels_outlive_a_rolling_restart_of_the_control_hosts(self):
+        self.submit(0, steps=1)
+        acked_at = self.cancel([1])
+        for host in list(self.world.controls):
+            self.world.stop(host)
+            self.world.run(1.0)
+            self.world.restart(host)
+            self.report_executors()
+            self.world.run(4.0)
+        self.call(2, "POST", steps=1)
+        self.world.run(2.0)
+        self.assertEqual([], self.starts_since(acked_at))
+
+    def test_a_standby_does_not_start_a_cancelled_job(self):
+        self.submit(0, steps=1)
+        acked_at = self.cancel([1])
+        for host in self.world.controls:
+            self.world.stop(host)
+        self.world.run(3.0)
+        for number in (2, 3):
+            self.call(number, "POST", steps=1)
+        self.world.run(2.0)
+        self.assertEqual([], self.starts_since(acked_at))
+
+    def test_an_entry_host_that_was_cut_off_learns_of_cancels(self):
+        self.cut_off(0)
+        self.world.run(1.0)
+        self.submit(1, steps=1)
+        acked_at = self.cancel([1])
+        self.world.network.cuts.clear()
+        self.world.run(5.0)
+        for host in self.world.controls:
+            self.world.stop(host)
+        self.world.run(3.0)
+        self.call(0, "POST", steps=1)
+        self.world.run(2.0)
+        self.assertEqual([], self.starts_since(acked_at))
+
+    def test_a_restarted_entry_host_learns_of_cancels(self):
+        self.submit(0, steps=1)
+        acked_at = self.cancel([1])
+        self.restart_entry(0)
+        for host in self.world.controls:
+            self.world.stop(host)
+        self.world.run(3.0)
+        self.call(0, "POST", steps=1)
+        self.world.run(2.0)
+        self.assertEqual([], self.starts_since(acked_at))
+
+
+class FullTableTest(CancelTestCase):
+    """Cancels are refused, not forgotten, when too many are kept."""
+
+    def test_a_full_table_refuses_a_cancel_and_the_job_runs_on(self):
+        self.patch(canceltable, "MAX_CANCELS", 2)
+        kept = [f"{number:016x}" for number in range(2)]
+        for job in kept:
+            self.cancel([0], job=job)
+        post = self.submit(0, steps=1)
+        delete = self.call(1, "DELETE")
+        self.world.run(0.5)
+        self.assertEqual((503, "1"), (delete.status, delete.retry_after))
+        self.world.run(2.0)
+        self.assertEqual({"state": "completed"}, post.state)
+        acked_at = self.world.clock.now()
+        for job in kept:
+            self.cancel([2], job=job)
+            self.call(1, "POST", job=job, steps=1)
+        self.world.run(2.0)
+        self.assertEqual([], self.starts_since(acked_at))
+
+    def test_a_full_table_has_room_again_after_the_retention(self):
+        self.patch(canceltable, "MAX_CANCELS", 1)
+        self.cancel([0], job=JOB[::-1])
+        self.world.run(canceltable.RETENTION_S + 1.0)
+        self.cancel([1])
+
+    def test_a_host_without_a_leader_refuses_what_it_cannot_keep(self):
+        self.patch(entryjobs, "MAX_UNSETTLED", 1)
+        self.cut_off(0)
+        self.world.run(1.0)
+        jobs = [self.call(0, "DELETE", job=job) for job in (JOB, JOB[::-1])]
+        self.assertEqual([503, 503], [each.status for each in jobs])
+        self.submit(1, steps=16)
+        self.world.network.cuts.clear()
+        self.world.run(5.0)
+        self.assertEqual([], self.starts_since(self.world.clock.now() - 1.0))
+
+    def test_a_wave_of_cancels_takes_few_commands(self):
+        control = self.world.controls[self.world.holder()]
+        before = control.member.commit
+        calls = [
+            self.call(number % 4, "DELETE", job=f"{number:016x}")
+            for number in range(2_500)
+        ]
+        self.world.run(1.0)
+        self.assertEqual({410}, {each.status for each in calls})
+        self.assertLessEqual(control.member.commit - before, 10)
+
+
+class CancelTableTest(testtools.TestCase):
+    """The table forgets nothing before its retention."""
+
+    def record(self, table, *jobs, at_s):
+        table.record(map(ids.JobId, jobs), int(at_s * 1000))
+
+    def test_jobs_are_kept_for_the_retention(self):
+        table = canceltable.CancelTable()
+        self.record(table, "a", at_s=1.0)
+        self.record(table, "b", at_s=1.0 + canceltable.RETENTION_S)
+        self.assertIn("a", table)
+        self.record(table, "c", at_s=1.1 + canceltable.RETENTION_S)
+        self.assertNotIn("a", table)
+        self.assertIn("b", table)
+
+    def test_the_time_of_a_leader_that_is_behind_forgets_nothing_early(self):
+        table = canceltable.CancelTable()
+        self.record(table, "a", at_s=100.0)
+        self.record(table, "b", at_s=1.0)
+        self.record(table, "c", at_s=99.0 + canceltable.RETENTION_S)
+        self.assertIn("b", table)
+
+    def test_a_dump_restores_the_table(self):
+        table = canceltable.CancelTable()
+        self.record(table, "a", "b", at_s=1.0)
+        self.record(table, "c", "a", at_s=2.0)
+        restored = canceltable.CancelTable()
+        self.record(restored, "d", at_s=1.5)
+        restored.load(table.dump())
+        self.assertEqual(["b", "d", "c", "a"], restored.since(0))
+        self.assertEqual(table.clock_ms, restored.clock_ms)
+
+    def test_an_empty_dump_changes_nothing(self):
+        table = canceltable.CancelTable()
+        table.load(table.dump())
+        table.load(b"")
+        self.assertEqual(0, len(table))
+
+    def test_news_are_what_was_recorded_since(self):
+        table = canceltable.CancelTable()
+        self.record(table, "a", "b", at_s=1.0)
+        count = table.count
+        self.assertEqual([], table.since(count))
+        self.record(table, "a", "c", at_s=2.0)
+        self.assertEqual(["a", "c"], table.since(count))
+
+
+class CutOffTest(CancelTestCase):
+    """An entry host is cut off; clients cancel at it and at others."""
+
+    def test_a_cancelled_job_does_not_come_back_after_a_cut(self):
+        self.submit(0, steps=16)
+        self.cut_off(0)
+        self.world.run(0.25)
+        acked_at = self.cancel([0, 1, 2])
+        self.world.run(CUT_S)
+        self.world.network.cuts.clear()
+        self.world.run(9.0)
+        late = self.starts_since(acked_at + CANCEL_S, by=self.world.controls)
+        self.assertEqual([], late)
+
+    def test_a_host_that_is_cut_off_does_not_acknowledge_a_cancel(self):
+        self.cut_off(0)
+        self.world.run(2.0)
+        self.submit(1, steps=8)
+        acked_at = self.cancel([0, 1, 2])
+        self.world.run(CANCEL_S)
+        self.assertEqual([], self.starts_since(acked_at + CANCEL_S))
+        self.world.run(9.0)
+        self.assertEqual([], self.starts_since(acked_at + CANCEL_S))
+
+    def test_a_cancel_sent_to_a_cut_off_host_reaches_the_next_leader(self):
+        self.cut_off(0)
+        self.world.run(2.0)
+        self.submit(1, steps=16)
+        delete = self.call(0, "DELETE")
+        self.world.run(1.5)
+        self.assertEqual((503, "1"), (delete.status, delete.retry_after))
+        self.world.network.cuts.clear()
+        self.world.run(4.0)
+        self.assertEqual([], self.starts_since(self.world.clock.now() - 1.0))
+        self.assertEqual(410, self._status(1, "DELETE"))
+
+    def test_a_job_is_not_handed_on_after_its_cancel_may_be_forgotten(self):
+        post = self.submit(0, steps=100)
+        self.cut_off(0)
+        self.world.run(0.25)
+        acked_at = self.cancel([1])
+        self.world.run(70.0)
+        # The retention ends with the next cancel.
+        self.cancel([1], job=JOB[::-1])
+        self.world.network.cuts.clear()
+        self.world.run(9.0)
+        late = self.starts_since(acked_at + CANCEL_S, by=self.world.controls)
+        self.assertEqual([], late)
+        self.assertEqual(502, post.status)
+
+    def test_a_host_without_a_holder_does_not_say_that_a_job_is_gone(self):
+        self.submit(1, steps=8)
+        self.cut_off(0)
+        self.world.run(3.0)
+        self.assertEqual(503, self._status(0, "DELETE"))
+
+    def _status(self, number, method):
+        exchange = self.call(number, method)
+        self.world.run(1.5)
+        return exchange.status
+
+
+class EngineCancelTest(testtools.TestCase):
+    """An engine answers a job again that it has cancelled."""
+
+    def test_a_cancelled_job_offered_again_is_answered_without_a_start(self):
+        world = workerworld.World(workers=1)
+        job = world.submit(tasks=2, work_s=5.0)
+        world.run(0.2)
+        world.cancel(job)
+        world.run(0.3)
+        starts = world.engine.starts
+        world.repeat_offer(job, submission=7)
+        world.run(1.0)
+        self.assertEqual(starts, world.engine.starts)
+        self.assertEqual(work.Outcome.CANCELLED, world.outcome(job))
