Reads: only a leader says that a job, a queue or waiting jobs are absent

What callers saw: an entry host answered 410 to each read of a job, also of one that ran; 404 for a queue that may have been added while it was cut off; and a count of 0 waiting jobs when it had no holder, or a standby that knows the jobs of its own followers.

Cause: what a host didn't know counted as absent.

Change: reads of jobs go to the holder. A leader whose lease holds and that has held for 2 s, in which all entry hosts offer it their jobs, says that a job doesn't exist; a standby only says so of one that is known to be cancelled.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -626,6 +626,7 @@
             zones_revision=self._zone_view.revision,
             evacuated=tuple(sorted(self._zone_view.evacuated)),
             is_current=self._is_current(),
+            answers_queries=True,
         )
 
     def _is_current(self) -> bool:
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -43,6 +43,8 @@
 QUORUM_REPLY_S = 0.03
 # Links to entry hosts are closed this long after the last message.
 ENTRY_LINK_UNUSED_S = 2.0
+# A leader's counts of waiting jobs are shown for this time.
+MAX_COUNTS_AGE_S = 2.0
 # Above the number of executor incarnations that a zone has in a day.
 MAX_REPORTS = 4_096
 
@@ -116,6 +118,7 @@
         self._control_seen_at = 0.0
         self._suspect_since: float | None = None
         self._counts: dict[str, int] = {}
+        self._counted_at = -math.inf
         self._heartbeats_sent = 0
         node.metrics.register(
             "document_version", lambda: self.document_version
@@ -135,6 +138,7 @@
         links.handle(messages.JobAnswer, self._on_answer)
         links.handle(messages.JobLosses, self._on_losses)
         links.handle(messages.JobCancelled, self._on_cancelled)
+        links.handle(messages.JobStatus, self._on_job_status)
         links.handle(messages.CancelNews, self._on_cancel_news)
         links.on_link_lost(self._on_lost)
         self._heap.call_every(HEARTBEAT_INTERVAL_S, self._send_heartbeat)
@@ -158,8 +162,19 @@
         else:
             done(0.0)
 
-    def waiting(self, queue: str) -> int:
-        """Count a queue's jobs whose first task hasn't started."""
+    @property
+    def has_leader(self) -> bool:
+        """Whether the holder is a leader, which pushes each document."""
+        holder = self.jobs.holder
+        return holder is not None and not holder.is_standby
+
+    def waiting(self, queue: str) -> int | None:
+        """Count a queue's jobs whose first task hasn't started.
+
+        :returns: None if no leader has told it recently
+        """
+        if self._heap.clock.now() - self._counted_at > MAX_COUNTS_AGE_S:
+            return None
         return self._counts.get(queue, 0)
 
     @property
@@ -388,6 +403,7 @@
             counts=self._holder_role.counts(),
             is_standby=True,
             token=self._holder_role.highest_token,
+            answers_queries=True,
         )
 
     def _maybe_take_over(self, now: float) -> None:
@@ -464,7 +480,13 @@
         self._holder_seen_at = now
         self._suspect_since = None
         self.jobs.is_holder_suspect = False
-        self._counts = {each.queue: each.waiting for each in message.counts}
+        if not message.is_standby:
+            # A standby knows the jobs of its own followers only.
+            self._counts = {
+                each.queue: each.waiting for each in message.counts
+            }
+            self._counted_at = now
+        self.jobs.is_holder_queryable = message.answers_queries
         self._switch_holder(new_holder)
 
     def _should_switch_to(self, other: entryjobs.HolderId) -> bool:
@@ -513,7 +535,6 @@
         self.jobs.clear_holder()
         self._suspect_since = None
         self.jobs.is_holder_suspect = False
-        self._counts = {}
         self._send_to(self._control_hosts)
         self._heap.call_later(QUORUM_REPLY_S, self._on_quorum_replies)
 
@@ -534,6 +555,11 @@
             message.number, message.is_known, message.verdict
         )
 
+    def _on_job_status(
+        self, _link: peers.MessageLink, message: messages.JobStatus
+    ) -> None:
+        self.jobs.resolve_query(message.number, message.state)
+
     def _on_cancel_news(
         self, _link: peers.MessageLink, message: messages.CancelNews
     ) -> None:
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -22,6 +22,7 @@
 NEVER_OFFERED_TIMEOUT_S = 0.1
 RETRY_AFTER_MS = 1_000
 CANCEL_TIMEOUT_S = 1.0
+QUERY_TIMEOUT_S = 1.0
 # After this time without a leader a job isn't handed on: it may have been
 # cancelled there, and the cancel be forgotten soon.
 CARRY_S = 0.75 * canceltable.RETENTION_S
@@ -45,6 +46,7 @@
 
 Answered = typing.Callable[[work.Answer], None]
 CancelCallback = typing.Callable[[CancelResult], None]
+QueryCallback = typing.Callable[[work.JobStage], None]
 
 
 class HolderId(typing.NamedTuple):
@@ -98,6 +100,7 @@
     :param holder_role: receives the jobs while this host is the holder
     :param version: returns the version of the applied document
     :ivar holder: the current holder, None while there is none
+    :ivar is_holder_queryable: whether it answers queries
     :ivar is_holder_suspect: whether the holder may be lost, so that jobs
         wait that it hasn't received
     :ivar holder_lost_at: when the last holder was lost, seconds
@@ -122,9 +125,11 @@
         self._jobs: dict[ids.JobId, _JobState] = {}
         # Differs from the numbers before a restart.
         self._numbers = itertools.count(int(self._heap.clock.now() * 1000) + 1)
+        self.is_holder_queryable = False
         self._leader_seen_at = self.holder_lost_at
         self._pending_cancels: dict[int, _Cancel] = {}
         self._unsettled: dict[ids.JobId, _Unsettled] = {}
+        self._queries: dict[int, QueryCallback] = {}
         self._outcomes: collections.Counter[str] = collections.Counter()
         self._latency = node.metrics.create_histogram("job_ms")
         node.metrics.register_table("jobs_", lambda: self._outcomes)
@@ -211,6 +216,28 @@
         }
         cancel.done(results[verdict])
 
+    def query(self, job: ids.JobId, done: QueryCallback) -> None:
+        """Ask the holder how far a job is; UNKNOWN without an answer."""
+        if self.holder is not None and self.holder.host == self._me:
+            done(self._holder_role.stage(job))
+            return
+        if self.holder is None or not self.is_holder_queryable:
+            done(work.JobStage.UNKNOWN)
+            return
+        number = next(self._numbers)
+        self._queries[number] = done
+        self._heap.call_later(
+            QUERY_TIMEOUT_S,
+            lambda: self.resolve_query(number, work.JobStage.UNKNOWN),
+        )
+        self._send(self.holder.host, messages.JobQuery(number, job))
+
+    def resolve_query(self, number: int, stage: work.JobStage) -> None:
+        """Process the reply to a query, unless it timed out."""
+        done = self._queries.pop(number, None)
+        if done is not None:
+            done(stage)
+
     def set_holder(self, holder: HolderId) -> None:
         """Set the holder and offer it the jobs that it hasn't received."""
         self.holder = holder
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 import typing
 
 from chervilwheel import ids
@@ -27,10 +28,17 @@
 # within this time end as lost.
 ENTRY_TIMEOUT_S = 0.6
 ENTRY_REMOVAL_S = 10.0
+# Entry hosts offer a new leader their jobs within this time, or give them up.
+OFFERS_COMPLETE_S = 2.0
 
 Notify = typing.Callable[[work.Notice], None]
 # Receives whether the job was known and unfinished, and the verdict.
 Cancelled = typing.Callable[[bool, messages.CancelVerdict], None]
+STAGES = {
+    work.Outcome.COMPLETED: work.JobStage.COMPLETED,
+    work.Outcome.FAILED: work.JobStage.FAILED,
+    work.Outcome.CANCELLED: work.JobStage.CANCELLED,
+}
 
 
 class EntryLink(typing.NamedTuple):
@@ -81,10 +89,13 @@
         )
         self._refused_cancels = 0
         self._runner: enginerunner.EngineRunner | None = None
+        self._may_send_orders: typing.Callable[[], bool] = lambda: False
+        self._knows_all_from = math.inf
         self._highest_token = 0
         self.entries: dict[ids.InstanceId, EntryLink] = {}
         links.handle(messages.JobOffer, self._on_offer)
         links.handle(messages.JobCancel, self._on_cancel)
+        links.handle(messages.JobQuery, self._on_query)
 
     @property
     def is_active(self) -> bool:
@@ -140,6 +151,11 @@
             lease_limits=self._lease_limits,
         )
         job_engine.speeds.restore(speed_rows, now)
+        is_leader = fence.side == tokens.LEADER_SIDE
+        self._knows_all_from = (
+            now + OFFERS_COMPLETE_S if is_leader else math.inf
+        )
+        self._may_send_orders = may_send_orders
         self._runner = enginerunner.EngineRunner(
             heap=self._heap,
             port=self._port,
@@ -220,6 +236,34 @@
             for job in jobs:
                 self._runner.cancel(job, work.Outcome.CANCELLED)
 
+    def stage(self, job: ids.JobId) -> work.JobStage:
+        """Return how far a job is, as far as this holder can know.
+
+        Only a leader, once its entry hosts have offered it their jobs, knows
+        that a job doesn't exist; a lost one may be offered again.
+        """
+        if self._runner is None:
+            return work.JobStage.UNKNOWN
+        state = self._runner.engine.jobs.get(job)
+        if state is not None and state.answer is not None:
+            stage = STAGES.get(state.answer.outcome)
+            if stage is not None:
+                return stage
+        elif state is not None:
+            is_started = state.is_started
+            return (
+                work.JobStage.RUNNING if is_started else work.JobStage.QUEUED
+            )
+        if self.cancels.holds(job):
+            return work.JobStage.ABSENT
+        knows_all = (
+            self._heap.clock.now() >= self._knows_all_from
+            and self._may_send_orders()
+        )
+        if state is not None or not knows_all:
+            return work.JobStage.UNKNOWN
+        return work.JobStage.ABSENT
+
     def record_entry(
         self,
         link: peers.MessageLink,
@@ -371,6 +415,11 @@
 
         self.cancel(message.job, done)
 
+    def _on_query(
+        self, link: peers.MessageLink, message: messages.JobQuery
+    ) -> None:
+        link.send(messages.JobStatus(message.number, self.stage(message.job)))
+
     def _on_notice(self, entry: ids.InstanceId, notice: work.Notice) -> None:
         if entry == self._me:
             self._notify(notice)
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -365,6 +365,20 @@
     jobs: tuple[ids.JobId, ...]
 
 
+class JobQuery(typing.NamedTuple):
+    """Request from an entry host to the holder for the state of a job."""
+
+    number: int
+    job: ids.JobId
+
+
+class JobStatus(typing.NamedTuple):
+    """Reply to a query."""
+
+    number: int
+    state: work.JobStage
+
+
 class ExecutorNews(typing.NamedTuple):
     """Executor reports that a control host forwards."""
 
@@ -441,6 +455,7 @@
     :ivar echo: the stamp of the heartbeat that this answers, 0 for none
     :ivar is_current: whether it knows all orders acknowledged up to now, save
         for a fraction of a second
+    :ivar answers_queries: whether it answers :class:`JobQuery`
     """
 
     control: ids.InstanceId
@@ -455,6 +470,7 @@
     evacuated: tuple[ids.ZoneId, ...] = ()
     echo: float = 0.0
     is_current: bool = False
+    answers_queries: bool = False
 
 
 class ExecutorSpeeds(typing.NamedTuple):
@@ -529,5 +545,7 @@
         EntryNews,
         ExecutorSpeeds,
         CancelNews,
+        JobQuery,
+        JobStatus,
     ],
 )
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -340,6 +340,9 @@
 
 struct CancelNews { jobs @0 :List(Text); }
 
+struct JobQuery { number @0 :UInt64; job @1 :Text; }
+struct JobStatus { number @0 :UInt64; state @1 :Text; }
+
 struct ExecutorNews { reports @0 :List(ExecutorReport); }
 
 struct EntryBeat {
@@ -379,6 +382,7 @@
   evacuated @9 :List(Text);
   echo @10 :Float64;
   isCurrent @11 :Bool;
+  answersQueries @12 :Bool;
 }
 
 struct SpeedRow {
@@ -434,5 +438,7 @@
     jobLosses @32 :JobLosses;
     executorSpeeds @33 :ExecutorSpeeds;
     cancelNews @34 :CancelNews;
+    jobQuery @35 :JobQuery;
+    jobStatus @36 :JobStatus;
   }
 }
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -175,6 +175,21 @@
     CANCELLED = "cancelled"
 
 
+class JobStage(enum.Enum):
+    """How far a job is; UNKNOWN where it may be known elsewhere.
+
+    ABSENT means that it is known not to run and never to run again.
+    """
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    ABSENT = "absent"
+    UNKNOWN = "unknown"
+
+
 class ExecutorReport(typing.NamedTuple):
     """A status report of an executor.
 
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -517,7 +517,8 @@
         self.submit(1, steps=8)
         self.cut_off(0)
         self.world.run(3.0)
-        self.assertEqual(503, self._status(0, "DELETE"))
+        for method in ("GET", "DELETE"):
+            self.assertEqual(503, self._status(0, method))
 
     def _status(self, number, method):
         exchange = self.call(number, method)
@@ -525,6 +526,85 @@
         return exchange.status
 
 
+class JobStateTest(CancelTestCase):
+    """A leader tells how far a job is; others say that they don't know."""
+
+    def state(self, number):
+        """Read the state of the job at an entry host."""
+        exchange = self.call(number, "GET")
+        self.world.run(0.2)
+        (response,) = exchange.responses
+        body = json.loads(response.body or b"{}")
+        return response.status, body.get("state")
+
+    def test_the_state_of_a_job_is_told_at_every_host(self):
+        self.assertEqual((410, None), self.state(2))
+        self.submit(0, steps=2)
+        for number in range(4):
+            self.assertEqual((200, "running"), self.state(number))
+        self.world.run(3.0)
+        self.assertEqual((200, "completed"), self.state(1))
+
+    def test_a_cancelled_job_is_told_as_cancelled_and_then_as_gone(self):
+        self.submit(0, steps=2)
+        self.cancel([1])
+        self.assertEqual((200, "cancelled"), self.state(2))
+        self.world.run(20.0)
+        self.assertEqual((410, None), self.state(2))
+
+    def test_a_cancel_of_an_unknown_job_shows_no_job(self):
+        self.cancel([0])
+        self.assertEqual((410, None), self.state(1))
+
+    def test_a_new_leader_does_not_know_at_once_that_a_job_is_gone(self):
+        former = self.world.holder()
+        self.world.stop(former)
+        while self.world.holder() in (None, former):
+            self.world.run(0.02)
+        self.world.run(0.5)
+        self.assertEqual((503, None), self.state(1))
+        self.world.run(3.0)
+        self.assertEqual((410, None), self.state(1))
+
+
+class AbsenceTest(CancelTestCase):
+    """A host without a leader doesn't say that something is absent."""
+
+    def status(self, number, **options):
+        """Send a GET to an entry host; return the status."""
+        return self.call(number, "GET", **options).status
+
+    def test_an_unknown_queue_is_absent_only_by_word_of_a_leader(self):
+        self.assertEqual(404, self.status(0, prefix="/other/"))
+        self.cut_off(0)
+        self.world.run(3.0)
+        self.assertEqual(503, self.status(0, prefix="/other/"))
+        self.assertEqual(404, self.status(1, prefix="/other/"))
+
+    def test_jobs_that_wait_elsewhere_are_not_counted_as_none(self):
+        self.assertEqual(200, self.status(0, job=""))
+        self.cut_off(0)
+        self.world.run(1.0)
+        self.assertEqual(200, self.status(0, job=""))
+        self.world.run(3.0)
+        self.assertEqual(503, self.status(0, job=""))
+        self.assertEqual(200, self.status(1, job=""))
+
+    def test_a_zone_that_may_be_evacuated_is_not_shown_as_confirmed(self):
+        host = next(iter(self.world.controls))
+        control = self.world.controls[host]
+        others = [each for each in self.world.controls if each != host]
+        self.world.cut_off(host, others)
+        self.world.run(2.0)
+        tables = []
+        control.read_zones(tables.append)
+        documents_read = []
+        control.read(documents_read.append)
+        self.world.run(2.0)
+        self.assertEqual([None], tables)
+        self.assertEqual([None], documents_read)
+
+
 class EngineCancelTest(testtools.TestCase):
     """An engine answers a job again that it has cancelled."""
 
