Engine: answer every entry host that has offered a job

What callers saw: of two requests for one job at two entry hosts only the one that came last was answered; the other waited until its caller gave up. Cause: a job's state held the entry host that offered it last only. Change: notices about a job go to each entry host that has offered it, and a repeated offer is told by the numbers that this entry host sent, so that a refused job isn't run by the repeated offer of the one that came first. Which entry host's heartbeats a job depends on is unchanged: the last one.

--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -117,8 +117,9 @@
     def _execute(self, action: work.Action) -> None:
         if isinstance(action, work.Answer | work.LossReport):
             state = self.engine.jobs.get(action.job)
-            if state is not None:
-                self._notify(state.entry, action)
+            # A caller may submit the job again when it is answered.
+            for entry in tuple(state.answered) if state is not None else ():
+                self._notify(entry, action)
         elif isinstance(action, work.StartOrder):
             self._start(action)
         elif isinstance(action, work.HoldOrder):
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -244,7 +244,7 @@
         existing = self._job_table.jobs.get(job.id)
         if existing is not None:
             is_repeated = existing.is_repeated_by(job, entry)
-            existing.entry = entry
+            existing.add_offer(job, entry)
             if not existing.is_finished:
                 if job.offers > existing.job.offers:
                     existing.restart_takeover(job, now)
--- a/chervilwheel/workers/jobstate.py
+++ b/chervilwheel/workers/jobstate.py
@@ -56,8 +56,10 @@
     """The tasks of a job and their progress.
 
     :param job: the job as offered
-    :param entry: the entry host that waits for the answer
+    :param entry: the entry host that offered it
     :param now: monotonic time of the offer, seconds
+    :ivar entry: the entry host that offered it last
+    :ivar answered: the entry hosts that are sent notices about it
     :ivar arrived_at: when its entry host received it, seconds
     :ivar critical_path_s: estimated duration of its critical path, seconds
     :ivar objective_s: latency objective, seconds; later answers have reduced
@@ -70,6 +72,9 @@
     ) -> None:
         self.job = job
         self.entry = entry
+        self.answered = [entry]
+        # The numbers of submission and of offer that each entry host sent.
+        self._offers = {entry: (job.submission, job.offers)}
         self.arrived_at = now - job.waited_ms / 1000
         # Kept, since each passes over all steps.
         self.critical_path_s = job.critical_path_s
@@ -97,13 +102,19 @@
         self.queue_ready_steps()
 
     def is_repeated_by(self, job: work.Job, entry: ids.InstanceId) -> bool:
-        """Return whether an offer repeats the one that this state is from."""
-        return (
-            entry == self.entry
-            and job.submission == self.job.submission
-            and job.offers == self.job.offers
-            and job.submission > 0
-        )
+        """Return whether an offer repeats an earlier one."""
+        offer = (job.submission, job.offers)
+        return job.submission > 0 and self._offers.get(entry) == offer
+
+    def add_offer(self, job: work.Job, entry: ids.InstanceId) -> None:
+        """Record another offer; its entry host is answered, too."""
+        if self.is_finished:
+            # The others have had their answer.
+            self.answered.clear()
+        if entry not in self.answered:
+            self.answered.append(entry)
+        self.entry = entry
+        self._offers[entry] = (job.submission, job.offers)
 
     def restart_takeover(self, job: work.Job, now: float) -> None:
         """Delay further starts after another holder has had the job."""
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -11,6 +11,7 @@
 from chervilwheel.control import documents
 from chervilwheel.control import entryhost
 from chervilwheel.control import entryjobs
+from chervilwheel.workers import jobstate
 from chervilwheel.workers import ports
 from chervilwheel.workers import work
 from loadtool import hostworld
@@ -463,6 +464,43 @@
         self.assertEqual(["a", "c"], table.since(count))
 
 
+class SeveralCallersTest(CancelTestCase):
+    """Requests for one job at several entry hosts."""
+
+    def test_each_caller_is_answered_when_the_job_is_completed(self):
+        first = self.submit(0, steps=2)
+        later = [self.call(number, "POST", steps=2) for number in (1, 2, 1)]
+        self.world.run(4.0)
+        states = [each.state["state"] for each in (first, *later)]
+        self.assertEqual(["completed"] * 4, states)
+        self.assertEqual(4, len(self.executors.starts))
+
+    def test_each_caller_is_answered_when_the_job_is_cancelled(self):
+        first = self.submit(0, steps=8)
+        later = self.call(1, "POST", steps=8)
+        self.world.run(0.1)
+        self.cancel([2])
+        self.assertEqual([200, 200], [first.status, later.status])
+
+
+class RepeatedOfferTest(testtools.TestCase):
+    """A refused job doesn't run because one of its offers is repeated."""
+
+    def test_the_offers_of_all_entry_hosts_are_known_when_repeated(self):
+        north, south = ids.InstanceId("north"), ids.InstanceId("south")
+        first = test_hosts.job()._replace(submission=7)
+        second = first._replace(submission=9)
+        state = jobstate.JobState(job=first, entry=north, now=0.0)
+        state.add_offer(second, south)
+        self.assertEqual([north, south], state.answered)
+        state.answer = work.Answer(first.id, work.Outcome.REFUSED)
+        for job, entry in ((first, north), (second, south)):
+            self.assertTrue(state.is_repeated_by(job, entry))
+            state.add_offer(job, entry)
+            self.assertEqual([entry], state.answered)
+        self.assertFalse(state.is_repeated_by(second, north))
+
+
 class CutOffTest(CancelTestCase):
     """An entry host is cut off; clients cancel at it and at others."""
 
