Cancels: entry hosts are sent only what they lack

Each committed cancel went to every entry host at once, and a new leader sent each of them the whole table: 9,100 messages a second for 100 cancels a second and 91 entry hosts, by calculation, and work in the gap after a loss. A committed cancel goes at once to the entry hosts that may hold next and to all with the next status, 0.15 s; entry hosts tell in their heartbeats up to which time of the log they know all, and a new leader goes on from there.

A new leader sends entry hosts that know 200 cancels no message about them.

--- a/chervilwheel/control/cancellog.py
+++ b/chervilwheel/control/cancellog.py
@@ -72,8 +72,9 @@
     def _send(self) -> None:
         jobs = list(itertools.islice(self._queued, MAX_BATCH))
         self._sent = {job: self._queued.pop(job) for job in jobs}
+        clock_ms = max(self._clock_ms(), self._table.clock_ms + 1)
         command = documents.ReadDocument(
-            0, cancelled=tuple(jobs), cancelled_at_ms=self._clock_ms()
+            0, cancelled=tuple(jobs), cancelled_at_ms=clock_ms
         )
         self._calls.call(
             documents.CODEC.encode(command), COMMIT_TIMEOUT_S, self._on_reply
@@ -92,59 +93,83 @@
                 done(verdict)
 
 
+class _Receiver:
+    """An entry host that takes these messages.
+
+    :ivar known_ms: the time up to which it has said to know all
+    :ivar sent_ms: the time up to which it was sent all
+    """
+
+    def __init__(self, *, link: peers.MessageLink, known_ms: int) -> None:
+        self.link = link
+        self.known_ms = known_ms
+        self.sent_ms = known_ms
+
+
 class CancelFeed:
-    """Send entry hosts the cancelled jobs that they haven't been sent.
+    """Send entry hosts the cancelled jobs that they don't know.
+
+    Control hosts have the same times for the same jobs, so that a new leader
+    goes on where the former one ended.
 
     :param table: the jobs as applied by this host
     """
 
     def __init__(self, *, table: canceltable.CancelTable) -> None:
         self._table = table
-        self._links: dict[ids.InstanceId, peers.MessageLink] = {}
-        # How many records each was sent.
-        self._sent: dict[ids.InstanceId, int] = {}
+        self._receivers: dict[ids.InstanceId, _Receiver] = {}
 
-    def add(self, link: peers.MessageLink) -> None:
-        """Record the link to an entry host that takes these messages."""
-        if self._links.get(link.peer) is not link:
-            self._links[link.peer] = link
-            self._sent[link.peer] = 0
+    def record_heartbeat(self, link: peers.MessageLink, known_ms: int) -> None:
+        """Record what an entry host that takes these messages knows.
+
+        :param known_ms: the time up to which it knows all
+        """
+        receiver = self._receivers.get(link.peer)
+        if receiver is None or receiver.link is not link:
+            receiver = _Receiver(link=link, known_ms=known_ms)
+            self._receivers[link.peer] = receiver
+        receiver.known_ms = known_ms
 
     def keep(self, entries: typing.Container[ids.InstanceId]) -> None:
         """Forget the other entry hosts."""
-        for name in list(self._links):
+        for name in list(self._receivers):
             if name not in entries:
-                del self._links[name], self._sent[name]
+                del self._receivers[name]
 
     def restart(self) -> None:
-        """Send everything again, since another holder may have sent it."""
-        self._sent = dict.fromkeys(self._links, 0)
-
-    def send_to(self, entry: ids.InstanceId) -> None:
-        """Send an entry host what it lacks."""
-        if self._sent.get(entry, self._table.count) != self._table.count:
-            self._send(entry, self._news_since(self._sent[entry]))
+        """Begin as the leader, with what the entry hosts said to know."""
+        for receiver in self._receivers.values():
+            receiver.sent_ms = receiver.known_ms
 
-    def send(self) -> None:
+    def send_all(self) -> None:
         """Send each entry host what it lacks."""
-        news_by_count: dict[int, list[messages.CancelNews]] = {}
-        for name, count in self._sent.items():
-            if count == self._table.count:
+        self.send(self._receivers)
+
+    def send(self, entries: typing.Iterable[ids.InstanceId]) -> None:
+        """Send some entry hosts what they lack, if they take it."""
+        clock_ms = self._table.clock_ms
+        by_time: dict[int, list[_Receiver]] = {}
+        for name in entries:
+            receiver = self._receivers.get(name)
+            if receiver is None or receiver.sent_ms == clock_ms:
                 continue
-            if count not in news_by_count:
-                news_by_count[count] = self._news_since(count)
-            self._send(name, news_by_count[count])
-
-    def _send(
-        self, entry: ids.InstanceId, news: list[messages.CancelNews]
-    ) -> None:
-        for each in news:
-            self._links[entry].send(each)
-        self._sent[entry] = self._table.count
-
-    def _news_since(self, count: int) -> list[messages.CancelNews]:
-        jobs = self._table.since(count)
-        return [
+            # A later time is of another log, before all disks were replaced.
+            is_of_log = receiver.sent_ms < clock_ms
+            sent_ms = receiver.sent_ms if is_of_log else 0
+            by_time.setdefault(sent_ms, []).append(receiver)
+        for sent_ms, receivers in by_time.items():
+            for news in self._news_since(sent_ms):
+                for receiver in receivers:
+                    receiver.link.send(news)
+            for receiver in receivers:
+                receiver.sent_ms = clock_ms
+
+    def _news_since(self, sent_ms: int) -> list[messages.CancelNews]:
+        jobs = self._table.since(sent_ms)
+        news = [
             messages.CancelNews(tuple(jobs[start : start + MAX_NEWS]))
             for start in range(0, len(jobs), MAX_NEWS)
         ]
+        if news:
+            news[-1] = news[-1]._replace(clock_ms=self._table.clock_ms)
+        return news
--- a/chervilwheel/control/canceltable.py
+++ b/chervilwheel/control/canceltable.py
@@ -35,12 +35,10 @@
     there is none. So nothing is forgotten early.
 
     :ivar clock_ms: the time of the newest record, milliseconds
-    :ivar count: number of records so far
     """
 
     def __init__(self) -> None:
         self.clock_ms = 0
-        self.count = 0
         self._recorded_ms: dict[ids.JobId, int] = {}
 
     def __len__(self) -> int:
@@ -50,14 +48,22 @@
         return job in self._recorded_ms
 
     def record(self, jobs: typing.Iterable[ids.JobId], clock_ms: int) -> None:
-        """Record cancelled jobs, and forget those past their retention."""
-        self.clock_ms = max(self.clock_ms, clock_ms)
+        """Record cancelled jobs, and forget those past their retention.
+
+        :param clock_ms: a time that isn't later than that of the newest
+            record is of a former leader, or of a command that is applied
+            again
+        """
+        if clock_ms <= self.clock_ms:
+            jobs = [job for job in jobs if job not in self]
+            if not jobs:
+                return
+            clock_ms = self.clock_ms + 1
+        self.clock_ms = clock_ms
         for job in jobs:
             self._recorded_ms.pop(job, None)
-            self._recorded_ms[job] = self.clock_ms
-            self.count += 1
-        for job in self._expired(self.clock_ms):
-            del self._recorded_ms[job]
+            self._recorded_ms[job] = clock_ms
+        self._forget()
 
     def has_room(self, count: int, clock_ms: int) -> bool:
         """Return whether a number of jobs can be recorded at a time."""
@@ -66,10 +72,11 @@
         expired = sum(1 for _ in self._expired(clock_ms))
         return len(self) - expired + count <= MAX_CANCELS
 
-    def since(self, count: int) -> list[ids.JobId]:
-        """Return what was recorded after a number of records."""
-        newest = itertools.islice(
-            reversed(self._recorded_ms), max(0, self.count - count)
+    def since(self, clock_ms: int) -> list[ids.JobId]:
+        """Return what was recorded after a time."""
+        newest = itertools.takewhile(
+            lambda job: self._recorded_ms[job] > clock_ms,
+            reversed(self._recorded_ms),
         )
         return list(newest)[::-1]
 
@@ -95,8 +102,12 @@
         self._recorded_ms = dict(
             sorted(mine.items(), key=lambda item: item[1])
         )
-        self.count += count
-        self.record((), clock_ms)
+        self.clock_ms = max(self.clock_ms, clock_ms)
+        self._forget()
+
+    def _forget(self) -> None:
+        for job in self._expired(self.clock_ms):
+            del self._recorded_ms[job]
 
     def _expired(self, clock_ms: int) -> list[ids.JobId]:
         oldest_ms = clock_ms - int(RETENTION_S * MS_PER_S)
@@ -134,9 +145,11 @@
     What it records as a holder isn't settled, since it has no quorum.
 
     :param heap: timers
+    :ivar known_ms: the leaders' time up to which it knows all
     """
 
     def __init__(self, *, heap: timers.TimerHeap) -> None:
+        self.known_ms = 0
         self._heap = heap
         self._table = CancelTable()
 
@@ -153,12 +166,13 @@
 
     def record(self, job: ids.JobId, done: Recorded) -> None:
         """Record a job cancelled by this host."""
-        self.add([job])
+        self._table.record([job], self._clock_ms())
         done(messages.CancelVerdict.UNSETTLED)
 
-    def add(self, jobs: typing.Iterable[ids.JobId]) -> None:
+    def add(self, news: messages.CancelNews) -> None:
         """Add jobs that a leader has recorded, which bounds their number."""
-        self._table.record(jobs, self._clock_ms())
+        self._table.record(news.jobs, self._clock_ms())
+        self.known_ms = max(self.known_ms, news.clock_ms)
 
     def _clock_ms(self) -> int:
         return int(self._heap.clock.now() * MS_PER_S)
--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -487,9 +487,9 @@
         )
         self._push(link.peer)
         if message.keeps_cancels:
-            self._cancel_feed.add(link)
+            self._cancel_feed.record_heartbeat(link, message.cancels_known_ms)
             if self.holder_role.is_active:
-                self._cancel_feed.send_to(link.peer)
+                self._cancel_feed.send([link.peer])
         is_new = previous is None or previous.link is not link
         if is_new:
             reports = tuple(each for _, each in self._reports.values())
@@ -555,8 +555,16 @@
             self._heap.call_later(0.0, self._push_all)
 
     def _on_jobs_cancelled(self) -> None:
+        """Tell the entry hosts that may hold next, before any caller.
+
+        The others are told with the next status.
+        """
         if self.holder_role.is_active:
-            self._cancel_feed.send()
+            entries = self.holder_role.entries
+            candidates = speedtransfer.standby_candidates(
+                entries, {each.zone for each in entries.values()}
+            )
+            self._cancel_feed.send(each.link.peer for each in candidates)
 
     def _on_zones(self, table: evacuations.ZoneTable) -> None:
         newest = table.audit[-1].origin if table.audit else ""
@@ -660,6 +668,7 @@
         self._cancel_feed.keep(self.holder_role.entries)
         self._is_entry_news_due |= len(self.holder_role.entries) != known
         if self.holder_role.is_active:
+            self._cancel_feed.send_all()
             self.holder_role.send_status(self._status())
 
     def _remove_old_reports(self) -> None:
@@ -702,7 +711,7 @@
     def _become_holder(self) -> None:
         self._cancels.begin()
         self._cancel_feed.restart()
-        self._cancel_feed.send()
+        self._cancel_feed.send_all()
         live = [
             (at, report)
             for at, report in self._reports.values()
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -289,6 +289,7 @@
             stamp=now,
             has_quorum=self._standby.can_elect(now),
             keeps_cancels=True,
+            cancels_known_ms=self._cancels.known_ms,
         )
 
     def _on_zones_changed(self) -> None:
@@ -563,7 +564,7 @@
     def _on_cancel_news(
         self, _link: peers.MessageLink, message: messages.CancelNews
     ) -> None:
-        self._cancels.add(message.jobs)
+        self._cancels.add(message)
         self._holder_role.cancelled(message.jobs)
 
     def _on_document(
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -360,9 +360,14 @@
 
 
 class CancelNews(typing.NamedTuple):
-    """Cancelled jobs in the log of the control hosts."""
+    """Cancelled jobs in the log of the control hosts.
+
+    :ivar clock_ms: the leaders' time up to which the receiver knows all then,
+        0 if more follow
+    """
 
     jobs: tuple[ids.JobId, ...]
+    clock_ms: int = 0
 
 
 class JobQuery(typing.NamedTuple):
@@ -401,6 +406,7 @@
     :ivar is_probe: whether the receiver is to answer at once, an entry host
         with its heartbeat and a control host with its status
     :ivar keeps_cancels: whether it takes :class:`CancelNews`
+    :ivar cancels_known_ms: the leaders' time up to which it has them
     """
 
     entry: ids.InstanceId
@@ -416,6 +422,7 @@
     has_quorum: bool = False
     is_probe: bool = False
     keeps_cancels: bool = False
+    cancels_known_ms: int = 0
 
 
 class EntryPeer(typing.NamedTuple):
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -338,7 +338,7 @@
   verdict @2 :Text;
 }
 
-struct CancelNews { jobs @0 :List(Text); }
+struct CancelNews { jobs @0 :List(Text); clockMs @1 :UInt64; }
 
 struct JobQuery { number @0 :UInt64; job @1 :Text; }
 struct JobStatus { number @0 :UInt64; state @1 :Text; }
@@ -359,6 +359,7 @@
   hasQuorum @10 :Bool;
   isProbe @11 :Bool;
   keepsCancels @12 :Bool;
+  cancelsKnownMs @13 :UInt64;
 }
 
 struct EntryPeer { host @0 :Text; zone @1 :Text; }
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -11,6 +11,7 @@
 from chervilwheel.control import documents
 from chervilwheel.control import entryhost
 from chervilwheel.control import entryjobs
+from chervilwheel.control import speedtransfer
 from chervilwheel.workers import jobstate
 from chervilwheel.workers import ports
 from chervilwheel.workers import work
@@ -405,6 +406,32 @@
         self.world.run(5.0)
         self.assertEqual([], self.starts_since(self.world.clock.now() - 1.0))
 
+    def test_steady_cancels_take_few_messages_to_the_entry_hosts(self):
+        before = self.world.messages_sent("CancelNews")
+        for number in range(100):
+            self.call(number % 4, "DELETE", job=f"{number:016x}")
+            self.world.run(0.01)
+        self.world.run(0.5)
+        # Each cancel to those that may hold next, and one each 0.15 s to all.
+        limit = speedtransfer.STANDBY_CANDIDATES * 100 + 4 * 1.5 / 0.15
+        sent = self.world.messages_sent("CancelNews") - before
+        self.assertLessEqual(sent, limit)
+        for entry in self.world.entries.values():
+            self.assertEqual(100, len(entry._cancels))
+
+    def test_a_new_leader_sends_only_what_the_entry_hosts_lack(self):
+        for number in range(200):
+            self.call(number % 4, "DELETE", job=f"{number:016x}")
+        self.world.run(1.0)
+        self.world.stop(self.world.holder())
+        before = self.world.messages_sent("CancelNews")
+        self.world.run(4.0)
+        self.assertEqual(before, self.world.messages_sent("CancelNews"))
+        self.cancel([0])
+        self.world.run(0.5)
+        for entry in self.world.entries.values():
+            self.assertEqual(201, len(entry._cancels))
+
     def test_a_wave_of_cancels_takes_few_commands(self):
         control = self.world.controls[self.world.holder()]
         before = control.member.commit
@@ -458,10 +485,27 @@
     def test_news_are_what_was_recorded_since(self):
         table = canceltable.CancelTable()
         self.record(table, "a", "b", at_s=1.0)
-        count = table.count
-        self.assertEqual([], table.since(count))
+        known_ms = table.clock_ms
+        self.assertEqual([], table.since(known_ms))
         self.record(table, "a", "c", at_s=2.0)
-        self.assertEqual(["a", "c"], table.since(count))
+        self.assertEqual(["a", "c"], table.since(known_ms))
+
+    def test_news_have_jobs_recorded_at_the_time_of_others(self):
+        table = canceltable.CancelTable()
+        self.record(table, "a", at_s=2.0)
+        known_ms = table.clock_ms
+        self.record(table, "b", at_s=2.0)
+        self.record(table, "c", at_s=1.0)
+        self.assertEqual(["b", "c"], table.since(known_ms))
+
+    def test_a_command_that_is_applied_again_changes_nothing(self):
+        table = canceltable.CancelTable()
+        self.record(table, "a", at_s=1.0)
+        self.record(table, "b", at_s=2.0)
+        state = table.dump()
+        self.record(table, "a", at_s=1.0)
+        self.record(table, "b", at_s=2.0)
+        self.assertEqual(state, table.dump())
 
 
 class SeveralCallersTest(CancelTestCase):
