Engine: a job back from another holder keeps its tasks

What operators saw: with two requests of one id and different steps at two entry hosts, one of them cut off, the leader's engine raised an exception with each tick from the end of the cut on, and nobody was answered. Cause: the state of a job took over the steps of an offer from another holder, though its tasks were made from its own. Change: it keeps its spec and steps; of one id, the job that came first counts.

--- a/chervilwheel/workers/jobstate.py
+++ b/chervilwheel/workers/jobstate.py
@@ -117,8 +117,11 @@
         self._offers[entry] = (job.submission, job.offers)
 
     def restart_takeover(self, job: work.Job, now: float) -> None:
-        """Delay further starts after another holder has had the job."""
-        self.job = job
+        """Delay further starts after another holder has had the job.
+
+        It keeps its tasks, though a caller may have sent other ones.
+        """
+        self.job = job._replace(spec=self.job.spec, steps=self.job.steps)
         self.is_taking_over = True
         self.takeover_from = now
         for row in self.tasks:
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -527,6 +527,20 @@
         self.assertEqual([200, 200], [first.status, later.status])
 
 
+class OtherBodyTest(CancelTestCase):
+    """Two requests with one id and different tasks are one job."""
+
+    def test_a_job_back_from_another_holder_keeps_its_tasks(self):
+        first = self.submit(0, steps=3)
+        self.cut_off(1)
+        self.world.run(2.0)
+        self.call(1, "POST", steps=1)
+        self.world.run(0.2)
+        self.world.network.cuts.clear()
+        self.world.run(8.0)
+        self.assertEqual({"state": "completed"}, first.state)
+
+
 class RepeatedOfferTest(testtools.TestCase):
     """A refused job doesn't run because one of its offers is repeated."""
 
