Tests: random cancels and repeated requests beside cuts and restarts

Eight schedules of 40 s: one host at a time is cut off, control hosts stop and start, entry hosts restart.

--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -2,6 +2,8 @@
 
 import collections
 import json
+import math
+import random
 import types
 
 import testtools
@@ -715,3 +717,119 @@
         world.run(1.0)
         self.assertEqual(starts, world.engine.starts)
         self.assertEqual(work.Outcome.CANCELLED, world.outcome(job))
+
+
+class ScheduleTest(CancelTestCase):
+    """Random requests and cancels beside cuts, stops and restarts."""
+
+    SEEDS = range(8)
+    SECONDS = 40.0
+    STEP_S = 0.25
+
+    def setUp(self):
+        super().setUp()
+        self.rng = random.Random(0)
+        self.steps = {}
+        self.cancels = []
+        self.acked_at = {}
+        self.heals_at = 0.0
+        self.stopped = None
+        self.actions = {
+            self.hand_in: 25,
+            self.cancel_one: 25,
+            self.repeat: 25,
+            self.cut: 10,
+            self.stop_control: 5,
+            self.restart_one: 2,
+            self.start_control: 8,
+        }
+
+    def hand_in(self):
+        """Hand a new job in."""
+        job = f"{self.rng.getrandbits(64):016x}"
+        self.steps[job] = self.rng.randint(1, 4)
+        self.call(self.number(), "POST", job=job, steps=self.steps[job])
+
+    def cancel_one(self):
+        """Cancel one of the last jobs."""
+        for job in self.recent(4):
+            exchange = self.call(self.number(), "DELETE", job=job)
+            self.cancels.append((job, exchange))
+
+    def repeat(self):
+        """Send the request of one of the last jobs again."""
+        for job in self.recent(8):
+            self.call(self.number(), "POST", job=job, steps=self.steps[job])
+
+    def cut(self):
+        """Cut a host off from all others, one at a time."""
+        if self.is_calm():
+            now = self.world.clock.now()
+            self.heals_at = now + self.rng.uniform(1.0, 6.0)
+            host = self.rng.choice(list(self.world.nodes))
+            others = [each for each in self.world.nodes if each != host]
+            self.world.cut_off(host, others)
+
+    def stop_control(self):
+        """Stop a control host."""
+        if self.is_calm():
+            self.stopped = self.rng.choice(list(self.world.controls))
+            self.world.stop(self.stopped)
+
+    def start_control(self):
+        """Start the control host that was stopped."""
+        if self.stopped is not None:
+            self.world.restart(self.stopped)
+            self.report_executors()
+            self.stopped = None
+
+    def restart_one(self):
+        """Restart an entry host."""
+        self.restart_entry(self.number())
+
+    def number(self):
+        """Choose an entry host."""
+        return self.rng.randrange(len(self.hosts))
+
+    def recent(self, count):
+        """Choose one of the last jobs, if there is one."""
+        jobs = list(self.steps)[-count:]
+        return [self.rng.choice(jobs)] if jobs else []
+
+    def is_calm(self):
+        """Return whether no host is cut off or stopped."""
+        is_cut = self.world.clock.now() < self.heals_at
+        return self.stopped is None and not is_cut
+
+    def play(self, seed):
+        """Play a schedule."""
+        self.rng.seed(seed)
+        end = self.world.clock.now() + self.SECONDS
+        while self.world.clock.now() < end:
+            (action,) = self.rng.choices(
+                list(self.actions), list(self.actions.values())
+            )
+            action()
+            self.world.run(self.STEP_S)
+            now = self.world.clock.now()
+            if now > self.heals_at:
+                self.world.network.cuts.clear()
+            for job, exchange in self.cancels:
+                if exchange.status in (200, 410):
+                    self.acked_at.setdefault(job, now)
+        self.world.network.cuts.clear()
+        self.start_control()
+        self.world.run(CANCEL_S + 2.0)
+
+    def test_no_control_host_starts_a_job_after_its_cancel(self):
+        for seed in self.SEEDS:
+            before = len(self.acked_at)
+            self.play(seed)
+            self.assertGreater(len(self.acked_at), before + 5)
+            late = [
+                (seed, at - self.acked_at[task.job], host, task)
+                for at, host, task in self.executors.starts
+                if host in self.world.controls
+                and at > self.acked_at.get(task.job, math.inf) + CANCEL_S
+            ]
+            self.assertEqual([], late)
