Cancels: no reply to former entry hosts that one isn't settled

During an upgrade an entry host of the former version would take the reply of a standby holder for an acknowledgement, whatever its verdict.

Measured: the new test and the others of tests/test_cancels.py and test_hosts.py, 64 in all, pass.

--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -341,7 +341,9 @@
                 ),
             )
             return
-        self._send(holder.host, messages.JobCancel(number, job))
+        self._send(
+            holder.host, messages.JobCancel(number, job, takes_verdict=True)
+        )
 
     def _time_cancel_out(self, number: int) -> None:
         cancel = self._pending_cancels.pop(number, None)
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -411,6 +411,10 @@
             return
 
         def done(is_known: bool, verdict: messages.CancelVerdict) -> None:
+            is_settled = verdict is messages.CancelVerdict.SETTLED
+            if not is_settled and not message.takes_verdict:
+                # A former version would take any reply for settled.
+                return
             link.send(messages.JobCancelled(message.number, is_known, verdict))
 
         self.cancel(message.job, done)
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -329,10 +329,15 @@
 
 
 class JobCancel(typing.NamedTuple):
-    """Request from an entry host to the holder to cancel a job."""
+    """Request from an entry host to the holder to cancel a job.
+
+    :ivar number: 0 if no caller requested it, which isn't answered
+    :ivar takes_verdict: whether the entry host reads the verdict of the reply
+    """
 
     number: int
     job: ids.JobId
+    takes_verdict: bool = False
 
 
 class CancelVerdict(enum.Enum):
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -331,7 +331,11 @@
 
 struct JobLosses { job @0 :Text; losses @1 :List(TaskLoss); }
 
-struct JobCancel { number @0 :UInt64; job @1 :Text; }
+struct JobCancel {
+  number @0 :UInt64;
+  job @1 :Text;
+  takesVerdict @2 :Bool;
+}
 struct JobCancelled {
   number @0 :UInt64;
   isKnown @1 :Bool;
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -9,6 +9,7 @@
 import testtools
 
 from chervilwheel import ids
+from chervilwheel import messages
 from chervilwheel.control import canceltable
 from chervilwheel.control import documents
 from chervilwheel.control import entryhost
@@ -585,6 +586,23 @@
         self.world.run(9.0)
         self.assertEqual([], self.starts_since(acked_at + CANCEL_S))
 
+    def test_a_former_entry_host_is_not_told_of_an_unsettled_cancel(self):
+        for host in self.world.controls:
+            self.world.stop(host)
+        self.world.run(3.0)
+        standby, follower = self.hosts[0], self.hosts[1]
+        self.assertEqual(
+            standby, self.world.entries[follower].jobs.holder.host
+        )
+        for takes_verdict in (False, True):
+            cancel = messages.JobCancel(
+                1, ids.JobId(JOB), takes_verdict=takes_verdict
+            )
+            self.world.nodes[follower].links.send(standby, cancel)
+            self.world.run(0.1)
+            replies = self.world.messages_sent("JobCancelled")
+            self.assertEqual(int(takes_verdict), replies)
+
     def test_a_cancel_sent_to_a_cut_off_host_reaches_the_next_leader(self):
         self.cut_off(0)
         self.world.run(2.0)
