Engine: a job goes on for other callers when one has left

What callers saw: 502 for a request whose first connection had broken, when the entry host of that noticed it after the request had come again at another one: the job was stopped for both. Cause: the message that a job's callers have left stopped the job, whoever else had offered it. Change: it says so, and the holder goes on while another entry host that has offered the job is left.

--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -83,6 +83,11 @@
         self.execute_actions()
         return is_known
 
+    def leave(self, job: ids.JobId, entry: ids.InstanceId) -> None:
+        """Stop a job whose callers have left, unless others wait for it."""
+        self.engine.leave(job, entry, self._now())
+        self.execute_actions()
+
     def close_zones(self, zones: frozenset[ids.ZoneId]) -> None:
         """Start nothing in these zones from now on; open all others."""
         if zones != self._closed_zones:
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -172,8 +172,13 @@
             "entry: the callers of a job have left",
             extra=self._describe(state, waited_s),
         )
-        if state.offered_to is not None and self.holder is not None:
-            self._withdraw(self.holder.host, job)
+        if state.offered_to is None or self.holder is None:
+            return
+        if self.holder.host == self._me:
+            self._holder_role.leave(job)
+        else:
+            message = messages.JobCancel(0, job, has_left=True)
+            self._send(self.holder.host, message)
 
     def cancel(self, job: ids.JobId, done: CancelCallback) -> None:
         """Cancel a job at a caller's request.
@@ -357,7 +362,7 @@
             self._unsettled[job].sent_to = None
 
     def _withdraw(self, host: ids.InstanceId, job: ids.JobId) -> None:
-        """Have a holder stop a job that it isn't to run any more."""
+        """Have a holder stop a job that is handed to another one."""
         if host == self._me:
             self._holder_role.withdraw(job)
         else:
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -207,10 +207,15 @@
         self._offer(job, self._me)
 
     def withdraw(self, job: ids.JobId) -> None:
-        """Stop a job whose callers or entry host have left this holder."""
+        """Stop a job that this host has handed to another holder."""
         if self._runner is not None:
             self._runner.cancel(job, work.Outcome.LOST)
 
+    def leave(self, job: ids.JobId) -> None:
+        """Stop a job whose callers have left, unless others wait for it."""
+        if self._runner is not None:
+            self._runner.leave(job, self._me)
+
     def cancel(self, job: ids.JobId, done: Cancelled) -> None:
         """Cancel a job at a caller's request, for good.
 
@@ -407,7 +412,10 @@
             self._send_not_holder(link)
             return
         if not message.number:
-            self.withdraw(message.job)
+            if message.has_left:
+                self._runner.leave(message.job, link.peer)
+            else:
+                self.withdraw(message.job)
             return
 
         def done(is_known: bool, verdict: messages.CancelVerdict) -> None:
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -333,11 +333,14 @@
 
     :ivar number: 0 if no caller requested it, which isn't answered
     :ivar takes_verdict: whether the entry host reads the verdict of the reply
+    :ivar has_left: whether its callers have left, so that the job goes on if
+        another entry host has offered it, too
     """
 
     number: int
     job: ids.JobId
     takes_verdict: bool = False
+    has_left: bool = False
 
 
 class CancelVerdict(enum.Enum):
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -335,6 +335,7 @@
   number @0 :UInt64;
   job @1 :Text;
   takesVerdict @2 :Bool;
+  hasLeft @3 :Bool;
 }
 struct JobCancelled {
   number @0 :UInt64;
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -309,6 +309,13 @@
         self._starter.place(now)
         return True
 
+    def leave(self, job: ids.JobId, entry: ids.InstanceId, now: float) -> None:
+        """Stop a job whose callers have left, unless others wait for it."""
+        state = self._job_table.jobs.get(job)
+        if state is None or state.is_finished or state.remove_entry(entry):
+            return
+        self.cancel(job, now, work.Outcome.LOST)
+
     def end_entry_jobs(self, entry: ids.InstanceId, now: float) -> None:
         """Stop the jobs of an entry host whose heartbeats have stopped."""
         for state in list(self._job_table.active):
--- a/chervilwheel/workers/jobstate.py
+++ b/chervilwheel/workers/jobstate.py
@@ -116,6 +116,17 @@
         self.entry = entry
         self._offers[entry] = (job.submission, job.offers)
 
+    def remove_entry(self, entry: ids.InstanceId) -> bool:
+        """Remove an entry host whose callers have left.
+
+        :returns: whether another one has offered the job
+        """
+        others = [each for each in self.answered if each != entry]
+        if others:
+            self.answered = others
+            self.entry = others[-1]
+        return bool(others)
+
     def restart_takeover(self, job: work.Job, now: float) -> None:
         """Delay further starts after another holder has had the job.
 
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -529,6 +529,27 @@
         self.cancel([2])
         self.assertEqual([200, 200], [first.status, later.status])
 
+    def test_a_caller_that_leaves_does_not_end_the_job_of_others(self):
+        for stays, leaves in ((0, 1), (1, 0)):
+            job = f"{stays:016x}"
+            calls = [
+                self.call(number, "POST", job=job, steps=2)
+                for number in range(2)
+            ]
+            self.world.run(0.5)
+            calls[leaves].on_disconnect()
+            self.world.run(3.0)
+            self.assertEqual({"state": "completed"}, calls[stays].state)
+
+    def test_a_job_ends_when_all_its_callers_have_left(self):
+        calls = [self.call(n, "POST", steps=4) for n in range(2)]
+        self.world.run(0.5)
+        for each in calls:
+            each.on_disconnect()
+        self.world.run(1.0)
+        self.assertEqual([], self.starts_since(self.world.clock.now() - 0.9))
+        self.assertEqual(2, len(self.executors.starts))
+
 
 class OtherBodyTest(CancelTestCase):
     """Two requests with one id and different tasks are one job."""
