--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -87,6 +87,11 @@
         self.execute_actions()
         return is_known
 
+    def leave(self, job: ids.JobId, entry: ids.InstanceId) -> None:
+        """Stop a job whose callers have left, unless others wait for it."""
+        self.engine.leave(job, entry, self._now())
+        self.execute_actions()
+
     def close_zones(self, zones: frozenset[ids.ZoneId]) -> None:
         """Start nothing in these zones from now on; open all others."""
         if zones != self._closed_zones:
@@ -126,8 +131,9 @@
     def _execute(self, action: work.Action) -> None:
         if isinstance(action, work.Answer | work.LossReport):
             state = self.engine.jobs.get(action.job)
-            if state is not None:
-                self._notify(state.entry, action)
+            # A caller may submit the job again when it is answered.
+            for entry in tuple(state.answered) if state is not None else ():
+                self._notify(entry, action)
         elif isinstance(action, work.StartOrder):
             self._start(action)
         elif isinstance(action, work.HoldOrder):
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -9,6 +9,7 @@
 from chervilwheel import ids
 from chervilwheel import messages
 from chervilwheel import peers
+from chervilwheel.control import canceltable
 from chervilwheel.control import deltas
 from chervilwheel.control import documents
 from chervilwheel.control import entryjobs
@@ -45,6 +46,8 @@
 FENCED_WAIT_S = 0.2
 # Links to entry hosts are closed this long after the last message.
 ENTRY_LINK_UNUSED_S = 2.0
+# A leader's counts of waiting jobs are shown for this time.
+MAX_COUNTS_AGE_S = 2.0
 # Above the number of executor incarnations that a zone has in a day.
 MAX_REPORTS = 4_096
 
@@ -103,6 +106,8 @@
             notify=lambda notice: self.jobs.handle_notice(notice, self._me),
             lease_limits=node.cfg.lease_limits,
         )
+        self._cancels = canceltable.KeptCancels(heap=node.heap)
+        self._holder_role.cancels = self._cancels
         self._relays = relay.Relays(
             me=self._me, links=node.links, may_forward=self._may_forward
         )
@@ -117,6 +122,7 @@
         self._suspect_since: float | None = None
         self._fenced_since: float | None = None
         self._counts: dict[str, int] = {}
+        self._counted_at = -math.inf
         self._heartbeats_sent = 0
         node.metrics.register(
             "document_version", lambda: self.document_version
@@ -136,6 +142,8 @@
         links.handle(messages.JobAnswer, self._on_answer)
         links.handle(messages.JobLosses, self._on_losses)
         links.handle(messages.JobCancelled, self._on_cancelled)
+        links.handle(messages.JobStatus, self._on_job_status)
+        links.handle(messages.CancelNews, self._on_cancel_news)
         links.on_link_lost(self._on_lost)
         self._heap.call_every(HEARTBEAT_INTERVAL_S, self._send_heartbeat)
         self._heap.call_every(HOLDER_CHECK_INTERVAL_S, self._check_holder)
@@ -158,8 +166,19 @@
         else:
             done(0.0)
 
-    def waiting(self, queue: str) -> int:
-        """Count a queue's jobs whose first task hasn't started."""
+    @property
+    def has_leader(self) -> bool:
+        """Whether the holder is a leader, which pushes each document."""
+        holder = self.jobs.holder
+        return holder is not None and not holder.is_standby
+
+    def waiting(self, queue: str) -> int | None:
+        """Count a queue's jobs whose first task hasn't started.
+
+        :returns: None if no leader has told it recently
+        """
+        if self._heap.clock.now() - self._counted_at > MAX_COUNTS_AGE_S:
+            return None
         return self._counts.get(queue, 0)
 
     @property
@@ -300,6 +319,8 @@
             evacuated=tuple(sorted(self._zone_watch.view.evacuated)),
             stamp=now,
             has_quorum=self._standby.can_elect(now),
+            keeps_cancels=True,
+            cancels_known_ms=self._cancels.known_ms,
         )
 
     def _on_zones_changed(self) -> None:
@@ -445,6 +466,7 @@
             counts=self._holder_role.counts(),
             is_standby=True,
             token=self._holder_role.highest_token,
+            answers_queries=True,
         )
 
     def _maybe_take_over(self, now: float) -> None:
@@ -517,7 +539,13 @@
         self._holder_seen_at = now
         self._suspect_since = None
         self.jobs.is_holder_suspect = False
-        self._counts = {each.queue: each.waiting for each in message.counts}
+        if not message.is_standby:
+            # A standby knows the jobs of its own followers only.
+            self._counts = {
+                each.queue: each.waiting for each in message.counts
+            }
+            self._counted_at = now
+        self.jobs.is_holder_queryable = message.answers_queries
         self._switch_holder(new_holder)
 
     def _should_switch_to(self, other: entryjobs.HolderId) -> bool:
@@ -568,7 +596,6 @@
         self.jobs.clear_holder()
         self._suspect_since = None
         self.jobs.is_holder_suspect = False
-        self._counts = {}
         self._send_to(self._control_hosts)
         self._heap.call_later(QUORUM_REPLY_S, self._on_quorum_replies)
 
@@ -585,7 +612,20 @@
     def _on_cancelled(
         self, _link: peers.MessageLink, message: messages.JobCancelled
     ) -> None:
-        self.jobs.resolve_cancel(message.number, message.is_known)
+        self.jobs.resolve_cancel(
+            message.number, message.is_known, message.verdict
+        )
+
+    def _on_job_status(
+        self, _link: peers.MessageLink, message: messages.JobStatus
+    ) -> None:
+        self.jobs.resolve_query(message.number, message.state)
+
+    def _on_cancel_news(
+        self, _link: peers.MessageLink, message: messages.CancelNews
+    ) -> None:
+        self._cancels.add(message)
+        self._holder_role.cancelled(message.jobs)
 
     def _on_document(
         self, link: peers.MessageLink, push: messages.DocumentPush
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -7,12 +7,14 @@
 """
 
 import logging
+import math
 import typing
 
 from chervilwheel import ids
 from chervilwheel import messages
 from chervilwheel import peers
 from chervilwheel import timers
+from chervilwheel.control import canceltable
 from chervilwheel.control import enginerunner
 from chervilwheel.control import tokens
 from chervilwheel.workers import engine
@@ -26,17 +28,17 @@
 # within this time end as lost.
 ENTRY_TIMEOUT_S = 0.6
 ENTRY_REMOVAL_S = 10.0
+# Entry hosts offer a new leader their jobs within this time, or give them up.
+OFFERS_COMPLETE_S = 2.0
 
 Notify = typing.Callable[[work.Notice], None]
-
-
-def cancel_outcome(number: int) -> work.Outcome:
-    """Return the outcome of a job that is cancelled.
-
-    :param number: the number of the cancel request; 0 when the job's
-        callers disconnected or its entry host changed to another holder
-    """
-    return work.Outcome.CANCELLED if number else work.Outcome.LOST
+# Receives whether the job was known and unfinished, and the verdict.
+Cancelled = typing.Callable[[bool, messages.CancelVerdict], None]
+STAGES = {
+    work.Outcome.COMPLETED: work.JobStage.COMPLETED,
+    work.Outcome.FAILED: work.JobStage.FAILED,
+    work.Outcome.CANCELLED: work.JobStage.CANCELLED,
+}
 
 
 class EntryLink(typing.NamedTuple):
@@ -62,6 +64,7 @@
         holder
     :param notify: receives notices about this host's own jobs
     :param lease_limits: the executors' limits for leases
+    :ivar cancels: the cancelled jobs, which are never started here
     """
 
     def __init__(
@@ -81,11 +84,18 @@
         self._send_not_holder = send_not_holder
         self._notify = notify
         self._lease_limits = lease_limits
+        self.cancels: canceltable.CancelStore = canceltable.KeptCancels(
+            heap=heap
+        )
+        self._refused_cancels = 0
         self._runner: enginerunner.EngineRunner | None = None
+        self._may_send_orders: typing.Callable[[], bool] = lambda: False
+        self._knows_all_from = math.inf
         self._highest_token = 0
         self.entries: dict[ids.InstanceId, EntryLink] = {}
         links.handle(messages.JobOffer, self._on_offer)
         links.handle(messages.JobCancel, self._on_cancel)
+        links.handle(messages.JobQuery, self._on_query)
 
     @property
     def is_active(self) -> bool:
@@ -150,6 +160,11 @@
             lease_limits=self._lease_limits,
         )
         job_engine.speeds.restore(speed_rows, now)
+        is_leader = fence.side == tokens.LEADER_SIDE
+        self._knows_all_from = (
+            now + OFFERS_COMPLETE_S if is_leader else math.inf
+        )
+        self._may_send_orders = may_send_orders
         self._runner = enginerunner.EngineRunner(
             heap=self._heap,
             port=self._port,
@@ -209,12 +224,70 @@
 
     def offer(self, job: work.Job) -> None:
         """Submit a job of this host."""
+        self._offer(job, self._me)
+
+    def withdraw(self, job: ids.JobId) -> None:
+        """Stop a job that this host has handed to another holder."""
+        if self._runner is not None:
+            self._runner.cancel(job, work.Outcome.LOST)
+
+    def leave(self, job: ids.JobId) -> None:
+        """Stop a job whose callers have left, unless others wait for it."""
         if self._runner is not None:
-            self._runner.offer(job, self._me)
+            self._runner.leave(job, self._me)
 
-    def cancel(self, job: ids.JobId, outcome: work.Outcome) -> bool:
-        """Cancel a job of this host; return whether it had not ended yet."""
-        return self._runner is not None and self._runner.cancel(job, outcome)
+    def cancel(self, job: ids.JobId, done: Cancelled) -> None:
+        """Cancel a job at a caller's request, for good.
+
+        A job that isn't known here may be offered later.
+        """
+        if self._runner is None:
+            done(False, messages.CancelVerdict.UNSETTLED)
+            return
+        if not self.cancels.has_room(job):
+            self._refused_cancels += 1
+            _LOG.warning(
+                "holding: a cancel is refused, too many are kept",
+                extra={"job": job},
+            )
+            done(False, messages.CancelVerdict.FULL)
+            return
+        is_known = self._runner.cancel(job, work.Outcome.CANCELLED)
+        self.cancels.record(job, lambda verdict: done(is_known, verdict))
+
+    def cancelled(self, jobs: typing.Iterable[ids.JobId]) -> None:
+        """Stop jobs that another holder has cancelled."""
+        if self._runner is not None:
+            for job in jobs:
+                self._runner.cancel(job, work.Outcome.CANCELLED)
+
+    def stage(self, job: ids.JobId) -> work.JobStage:
+        """Return how far a job is, as far as this holder can know.
+
+        Only a leader, once its entry hosts have offered it their jobs, knows
+        that a job doesn't exist; a lost one may be offered again.
+        """
+        if self._runner is None:
+            return work.JobStage.UNKNOWN
+        state = self._runner.engine.jobs.get(job)
+        if state is not None and state.answer is not None:
+            stage = STAGES.get(state.answer.outcome)
+            if stage is not None:
+                return stage
+        elif state is not None:
+            is_started = state.is_started
+            return (
+                work.JobStage.RUNNING if is_started else work.JobStage.QUEUED
+            )
+        if self.cancels.holds(job):
+            return work.JobStage.ABSENT
+        knows_all = (
+            self._heap.clock.now() >= self._knows_all_from
+            and self._may_send_orders()
+        )
+        if state is not None or not knows_all:
+            return work.JobStage.UNKNOWN
+        return work.JobStage.ABSENT
 
     def record_entry(
         self,
@@ -282,6 +355,7 @@
             "waiting": sum(job_engine.waiting_by_queue().values()),
             "starts_total": job_engine.starts,
             "refusals_total": job_engine.refusals,
+            "refused_cancels_total": self._refused_cancels,
             "refusals_closed_zone_total": job_engine.closed_zone_refusals,
             "closed_executors": job_engine.count_closed(),
             "cold_executors": job_engine.count_cold(self._heap.clock.now()),
@@ -326,7 +400,29 @@
         if self._runner is None:
             self._send_not_holder(link)
         else:
-            self._runner.offer(message.job, link.peer)
+            self._offer(message.job, link.peer)
+
+    def _offer(self, job: work.Job, entry: ids.InstanceId) -> None:
+        if self._runner is None:
+            return
+        known = self._runner.engine.jobs.get(job.id)
+        is_completed = (
+            known is not None
+            and known.answer is not None
+            and known.answer.outcome is work.Outcome.COMPLETED
+        )
+        if is_completed or not self.cancels.holds(job.id):
+            self._runner.offer(job, entry)
+            return
+        _LOG.info(
+            "holding: a cancelled job is offered again",
+            extra={"job": job.id, "offers": job.offers},
+        )
+        self._runner.cancel(job.id, work.Outcome.CANCELLED)
+        answer = work.Answer(
+            job.id, work.Outcome.CANCELLED, reason="cancelled"
+        )
+        self._on_notice(entry, answer)
 
     def _on_cancel(
         self, link: peers.MessageLink, message: messages.JobCancel
@@ -335,10 +431,26 @@
         if self._runner is None:
             self._send_not_holder(link)
             return
-        is_known = self._runner.cancel(
-            message.job, cancel_outcome(message.number)
-        )
-        link.send(messages.JobCancelled(message.number, is_known))
+        if not message.number:
+            if message.has_left:
+                self._runner.leave(message.job, link.peer)
+            else:
+                self.withdraw(message.job)
+            return
+
+        def done(is_known: bool, verdict: messages.CancelVerdict) -> None:
+            is_settled = verdict is messages.CancelVerdict.SETTLED
+            if not is_settled and not message.takes_verdict:
+                # A former version would take any reply for settled.
+                return
+            link.send(messages.JobCancelled(message.number, is_known, verdict))
+
+        self.cancel(message.job, done)
+
+    def _on_query(
+        self, link: peers.MessageLink, message: messages.JobQuery
+    ) -> None:
+        link.send(messages.JobStatus(message.number, self.stage(message.job)))
 
     def _on_notice(self, entry: ids.InstanceId, notice: work.Notice) -> None:
         if entry == self._me:
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -329,17 +329,67 @@
 
 
 class JobCancel(typing.NamedTuple):
-    """Request from an entry host to the holder to cancel a job."""
+    """Request from an entry host to the holder to cancel a job.
+
+    :ivar number: 0 if no caller requested it, which isn't answered
+    :ivar takes_verdict: whether the entry host reads the verdict of the reply
+    :ivar has_left: whether its callers have left, so that the job goes on if
+        another entry host has offered it, too
+    """
 
     number: int
     job: ids.JobId
+    takes_verdict: bool = False
+    has_left: bool = False
+
+
+class CancelVerdict(enum.Enum):
+    """What became of a cancel.
+
+    SETTLED, which former versions send as no text, means that it stands for
+    good. UNSETTLED ones may be undone by another holder; FULL ones weren't
+    carried out, since too many are kept.
+    """
+
+    SETTLED = ""
+    UNSETTLED = "unsettled"
+    FULL = "full"
 
 
 class JobCancelled(typing.NamedTuple):
-    """Reply to a cancellation: whether the job was known and unfinished."""
+    """Reply to a cancellation.
+
+    :ivar is_known: whether the job was known and unfinished
+    """
 
     number: int
     is_known: bool
+    verdict: CancelVerdict = CancelVerdict.SETTLED
+
+
+class CancelNews(typing.NamedTuple):
+    """Cancelled jobs in the log of the control hosts.
+
+    :ivar clock_ms: the leaders' time up to which the receiver knows all then,
+        0 if more follow
+    """
+
+    jobs: tuple[ids.JobId, ...]
+    clock_ms: int = 0
+
+
+class JobQuery(typing.NamedTuple):
+    """Request from an entry host to the holder for the state of a job."""
+
+    number: int
+    job: ids.JobId
+
+
+class JobStatus(typing.NamedTuple):
+    """Reply to a query."""
+
+    number: int
+    state: work.JobStage
 
 
 class ExecutorNews(typing.NamedTuple):
@@ -364,6 +414,8 @@
     :ivar is_probe: whether the receiver is to answer at once, an entry host
         with its heartbeat and a control host with its status
     :ivar is_fenced: whether executors have fenced it off as a standby holder
+    :ivar keeps_cancels: whether it takes :class:`CancelNews`
+    :ivar cancels_known_ms: the leaders' time up to which it has them
     """
 
     entry: ids.InstanceId
@@ -379,6 +431,8 @@
     has_quorum: bool = False
     is_probe: bool = False
     is_fenced: bool = False
+    keeps_cancels: bool = False
+    cancels_known_ms: int = 0
 
 
 class EntryPeer(typing.NamedTuple):
@@ -418,6 +472,7 @@
     :ivar echo: the stamp of the heartbeat that this answers, 0 for none
     :ivar is_current: whether it knows all orders acknowledged up to now, save
         for a fraction of a second
+    :ivar answers_queries: whether it answers :class:`JobQuery`
     """
 
     control: ids.InstanceId
@@ -432,6 +487,7 @@
     evacuated: tuple[ids.ZoneId, ...] = ()
     echo: float = 0.0
     is_current: bool = False
+    answers_queries: bool = False
 
 
 class ExecutorSpeeds(typing.NamedTuple):
@@ -505,5 +561,8 @@
         Relayed,
         EntryNews,
         ExecutorSpeeds,
+        CancelNews,
+        JobQuery,
+        JobStatus,
     ],
 )
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -331,8 +331,22 @@
 
 struct JobLosses { job @0 :Text; losses @1 :List(TaskLoss); }
 
-struct JobCancel { number @0 :UInt64; job @1 :Text; }
-struct JobCancelled { number @0 :UInt64; isKnown @1 :Bool; }
+struct JobCancel {
+  number @0 :UInt64;
+  job @1 :Text;
+  takesVerdict @2 :Bool;
+  hasLeft @3 :Bool;
+}
+struct JobCancelled {
+  number @0 :UInt64;
+  isKnown @1 :Bool;
+  verdict @2 :Text;
+}
+
+struct CancelNews { jobs @0 :List(Text); clockMs @1 :UInt64; }
+
+struct JobQuery { number @0 :UInt64; job @1 :Text; }
+struct JobStatus { number @0 :UInt64; state @1 :Text; }
 
 struct ExecutorNews { reports @0 :List(ExecutorReport); }
 
@@ -350,6 +364,8 @@
   hasQuorum @10 :Bool;
   isProbe @11 :Bool;
   isFenced @12 :Bool;
+  keepsCancels @13 :Bool;
+  cancelsKnownMs @14 :UInt64;
 }
 
 struct EntryPeer { host @0 :Text; zone @1 :Text; }
@@ -373,6 +389,7 @@
   evacuated @9 :List(Text);
   echo @10 :Float64;
   isCurrent @11 :Bool;
+  answersQueries @12 :Bool;
 }
 
 struct SpeedRow {
@@ -427,5 +444,8 @@
     entryNews @31 :EntryNews;
     jobLosses @32 :JobLosses;
     executorSpeeds @33 :ExecutorSpeeds;
+    cancelNews @34 :CancelNews;
+    jobQuery @35 :JobQuery;
+    jobStatus @36 :JobStatus;
   }
 }
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -294,7 +294,7 @@
         existing = self._job_table.jobs.get(job.id)
         if existing is not None:
             is_repeated = existing.is_repeated_by(job, entry)
-            existing.entry = entry
+            existing.add_offer(job, entry)
             if not existing.is_finished:
                 if job.offers > existing.job.offers:
                     existing.restart_takeover(job, now)
@@ -375,6 +375,13 @@
         self._starter.place(now)
         return True
 
+    def leave(self, job: ids.JobId, entry: ids.InstanceId, now: float) -> None:
+        """Stop a job whose callers have left, unless others wait for it."""
+        state = self._job_table.jobs.get(job)
+        if state is None or state.is_finished or state.remove_entry(entry):
+            return
+        self.cancel(job, now, work.Outcome.LOST)
+
     def end_entry_jobs(self, entry: ids.InstanceId, now: float) -> None:
         """Stop the jobs of an entry host whose heartbeats have stopped."""
         for state in list(self._job_table.active):
@@ -904,6 +911,6 @@
 
 def _is_final(answer: work.Answer) -> bool:
     """Return whether a repeated submission gets the same answer again."""
-    if answer.outcome is work.Outcome.COMPLETED:
+    if answer.outcome in (work.Outcome.COMPLETED, work.Outcome.CANCELLED):
         return True
     return answer.reason == CRASHES
