Take-over: a new leader waits for executors that report to nobody

Cause: the new leader took an executor that was silent for 5 s for one that the former leader didn't use. Only the former leader knew; the knowledge ended with it.

Change: a leader gives an executor up once it has neither reported nor answered for 5 s and its last lease has lapsed, starts nothing there before its next report, and tells the other control hosts the key of the last report. The next leader waits for the lists of all executors heard of in 60 s but these. It believes the leader of the term before its own alone, by its log. A lost message makes it wait for the end of the leases, so that it costs time, never a second run.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -30,6 +30,7 @@
 from chervilwheel.control import scopes
 from chervilwheel.control import speedtransfer
 from chervilwheel.control import tokens
+from chervilwheel.control import unusedexecutors
 from chervilwheel.control import zoneorders
 from chervilwheel.workers import ports
 from chervilwheel.workers import work
@@ -102,6 +103,7 @@
         self._services_version = 0
         self._pushes = pushes.PushTracker()
         self._speeds = speedtransfer.SpeedTransfer()
+        self._unused = unusedexecutors.UnusedExecutors()
         self._started_at = self._heap.clock.now()
         self._is_stopping = False
         self._had_quorum = False
@@ -472,6 +474,7 @@
     ) -> None:
         for report in message.reports:
             self._store_report(report)
+        self._unused.receive(message)
 
     def _store_report(self, report: work.ExecutorReport) -> None:
         previous = self._reports.get(report.id)
@@ -714,6 +717,18 @@
         if self.holder_role.is_active:
             self._cancel_feed.send_all()
             self.holder_role.send_status(self._status())
+            self._send_unused()
+
+    def _send_unused(self) -> None:
+        """Tell the other control hosts of executors that are given up."""
+        news = self._unused.news(
+            self.holder_role.unused_executors(),
+            self.member.term,
+            self._heap.clock.now(),
+        )
+        for name in self._control_hosts() if news is not None else ():
+            if name != self._cfg.id:
+                self._node.links.send(name, news)
 
     def _remove_old_reports(self) -> None:
         now = self._heap.clock.now()
@@ -763,6 +778,7 @@
             if not report.is_gone
             or self._heap.clock.now() - at < work.DEPARTURE_RETENTION_S
         ]
+        former_term = self._group.former_term
         self.holder_role.begin(
             fence=tokens.Fence(self.member.term, tokens.LEADER_SIDE),
             reports_complete_at=self._started_at + 2 * self._cfg.heartbeat_s,
@@ -770,6 +786,7 @@
             may_send_orders=self._may_send_orders,
             closed_zones=self._zone_view.evacuated,
             speed_rows=self._speeds.known(self._heap.clock.now()),
+            is_unused=lambda report: self._unused.covers(report, former_term),
             on_bumps_used=self._begin_term,
         )
         self._send_status()
--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -67,13 +67,16 @@
         self._is_closed = True
 
     def report(
-        self, report: work.ExecutorReport, *, age_s: float = 0.0
+        self,
+        report: work.ExecutorReport,
+        *,
+        age_s: float = 0.0,
+        is_unused: bool = False,
     ) -> None:
-        """Process an executor's report.
-
-        :param age_s: time since the report arrived, seconds
-        """
-        self.engine.report(report, self._now(), age_s=age_s)
+        """Process an executor's report, as :meth:`engine.Engine.report`."""
+        self.engine.report(
+            report, self._now(), age_s=age_s, is_unused=is_unused
+        )
         self.execute_actions()
 
     def offer(self, job: work.Job, entry: ids.InstanceId) -> None:
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -135,6 +135,9 @@
         closed_zones: frozenset[ids.ZoneId] = frozenset(),
         may_start: typing.Callable[[], bool] = lambda: True,
         speed_rows: typing.Iterable[speeds.SpeedRow] = (),
+        is_unused: typing.Callable[
+            [work.ExecutorReport], bool
+        ] = lambda _report: False,
         on_bumps_used: typing.Callable[[], None] = lambda: None,
     ) -> None:
         """Become the holder and take over the executors that have reported.
@@ -147,6 +150,8 @@
         :param closed_zones: zones in which nothing is started
         :param may_start: whether tasks may be started now
         :param speed_rows: speeds that an earlier holder has learned
+        :param is_unused: whether the leader before this one had given up the
+            executor of a report
         :param on_bumps_used: called when executors fence the leader off and
             its token can't be raised any more
         """
@@ -189,7 +194,9 @@
             },
         )
         for at, report in arrived:
-            self._runner.report(report, age_s=now - at)
+            self._runner.report(
+                report, age_s=now - at, is_unused=is_unused(report)
+            )
 
     def end(self, why: str) -> None:
         """Stop being the holder.
@@ -327,6 +334,10 @@
             return {}
         return self._runner.engine.runs_by_zone(zones, self._heap.clock.now())
 
+    def unused_executors(self) -> list[work.ReportKey]:
+        """List the executors given up, empty when not the holder."""
+        return [] if self._runner is None else self._runner.engine.unused
+
     def speed_rows(
         self, zones: typing.Collection[ids.ZoneId] | None = None
     ) -> tuple[speeds.SpeedRow, ...]:
--- a/chervilwheel/grouphost.py
+++ b/chervilwheel/grouphost.py
@@ -138,6 +138,15 @@
         member = self.member
         return member.log.term_at(self._applied_index) == member.term
 
+    @property
+    def former_term(self) -> int:
+        """Term of the last entry before the replica's term, 0 if unknown."""
+        member = self.member
+        index = self._applied_index
+        while member.log.term_at(index) == member.term:
+            index -= 1
+        return member.log.term_at(index) or 0
+
     def request(
         self, request: messages.GroupRequest, respond: Respond
     ) -> None:
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -393,9 +393,17 @@
 
 
 class ExecutorNews(typing.NamedTuple):
-    """Executor reports that a control host forwards."""
+    """Executor reports that a control host forwards.
+
+    :ivar unused: the last reports of all executors that the leader has given
+        up, and won't use before it has another report
+    :ivar unused_term: the term of that leader, 0 if the message says nothing
+        of them
+    """
 
     reports: tuple[work.ExecutorReport, ...]
+    unused: tuple[work.ReportKey, ...] = ()
+    unused_term: int = 0
 
 
 class EntryBeat(typing.NamedTuple):
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -348,7 +348,12 @@
 struct JobQuery { number @0 :UInt64; job @1 :Text; }
 struct JobStatus { number @0 :UInt64; state @1 :Text; }
 
-struct ExecutorNews { reports @0 :List(ExecutorReport); }
+struct ReportKey { id @0 :Text; bornMs @1 :UInt64; sequence @2 :UInt64; }
+struct ExecutorNews {
+  reports @0 :List(ExecutorReport);
+  unused @1 :List(ReportKey);
+  unusedTerm @2 :UInt64;
+}
 
 struct EntryBeat {
   entry @0 :Text;
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -175,6 +175,15 @@
         """Current jobs and recently ended ones, by id."""
         return self._job_table.jobs
 
+    @property
+    def unused(self) -> list[work.ReportKey]:
+        """The last reports of executors that aren't used before the next."""
+        return [
+            executor.report.key
+            for executor in self.executors.values()
+            if executor.is_unused
+        ]
+
     def take_actions(self) -> list[work.Action]:
         """Return and clear the pending orders and answers."""
         actions = list(self._actions)
@@ -182,11 +191,18 @@
         return actions
 
     def report(
-        self, report: work.ExecutorReport, now: float, *, age_s: float = 0.0
+        self,
+        report: work.ExecutorReport,
+        now: float,
+        *,
+        age_s: float = 0.0,
+        is_unused: bool = False,
     ) -> None:
         """Process the status report of an executor.
 
         :param age_s: time since a control host received it, seconds
+        :param is_unused: whether the leader before this one had given the
+            executor up and not used it since this report
         """
         executor = self.executors.get(report.id)
         if executor is None:
@@ -199,6 +215,7 @@
                 on_free_changed=self._free_index.update,
                 is_closed=report.zone in self._closed_zones,
                 cold_rate=self._cold_rate(report.service),
+                is_unused=is_unused,
             )
             self.executors[report.id] = executor
             self._free_index.update(executor)
@@ -773,6 +790,11 @@
         ):
             self._remove_executor(executor, now, why=Departure.SILENT)
             return
+        are_runs_known = (
+            executor.listed_at > 0.0 or now >= self._takeovers.leases_end_at
+        )
+        if are_runs_known and leases.is_given_up(executor, now):
+            executor.is_unused = True
         self._leases.renew_if_due(
             executor, now, poll_after=self._takeovers.poll_after
         )
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -130,6 +130,7 @@
         if unknown
     :ivar is_report_due: whether an answer has shown this incarnation and the
         report is that of a former one
+    :ivar is_unused: whether no leader uses it before its next report
     """
 
     report: work.ExecutorReport
@@ -174,6 +175,7 @@
     on_free_changed: typing.Callable[["Executor"], None] = lambda _: None
     born_ms: int = 0
     is_report_due: bool = False
+    is_unused: bool = False
 
     @property
     def id(self) -> work.ExecutorId:
@@ -205,6 +207,8 @@
             report.room != self.report.room
             or report.service != self.report.service
         )
+        if report.key > self.report.key:
+            self.is_unused = False
         self.report = report
         if self.is_report_due:
             self.is_report_due = False
@@ -284,6 +288,7 @@
             and not self.is_closed
             and not self.is_retrying
             and not self.is_report_due
+            and not self.is_unused
             and not self.report.is_draining
             and not self.report.is_gone
             and not self.is_reserved
--- a/chervilwheel/workers/leases.py
+++ b/chervilwheel/workers/leases.py
@@ -339,6 +339,15 @@
             self.poll(executor, now)
 
 
+def is_given_up(executor: executors.Executor, now: float) -> bool:
+    """Whether an executor neither reports nor answers, and runs nothing."""
+    return (
+        bool(executor.unreachable_since)
+        and not executor.runs
+        and now - executor.last_report_at >= REPORT_TIMEOUT_S
+    )
+
+
 def is_in_contact(executor: executors.Executor, now: float) -> bool:
     """Whether all runs of an executor are known, and it answers and reports.
 
--- a/chervilwheel/workers/takeover.py
+++ b/chervilwheel/workers/takeover.py
@@ -13,7 +13,7 @@
 # hosts offer their jobs again within it: it is two heartbeats long.
 ORPHAN_TIMEOUT_S = 0.3
 # A round of polls covers all jobs that were offered before it. The next one
-# begins when all live executors have answered, or after a call's timeout.
+# begins when all used executors have answered, or after a call's timeout.
 POLL_ROUND_TIMEOUT_S = 0.3
 # Executors answer a poll within milliseconds; one that hasn't answered by then
 # is probably unreachable.
@@ -30,6 +30,8 @@
     :param reports_complete_at: time from which on all executors that another
         holder may have used are known, seconds
     :param now: monotonic time of the first order, seconds
+    :ivar poll_after: the lists requested before this time are too old
+    :ivar leases_end_at: when all runs of the former holder have ended, seconds
     """
 
     def __init__(
@@ -50,7 +52,7 @@
         # The former holder sent no order after this one began, and no other
         # holder extends the lease of an executor with runs that it doesn't
         # know.
-        self._leases_end_at = now + limits.max_run_s
+        self.leases_end_at = now + limits.max_run_s
 
     def __bool__(self) -> bool:
         return bool(self._jobs)
@@ -78,25 +80,22 @@
         if not waiting:
             self.poll_after = 0.0
             return []
-        live = [
-            executor
-            for executor in all_executors
-            if now - executor.last_report_at < leases.REPORT_TIMEOUT_S
-        ]
         all_listed_since = min(
             (executor.listed_at for executor in all_executors), default=0.0
         )
-        live_listed_since = min(
-            (executor.listed_at for executor in live), default=0.0
+        # A silent executor may have answered orders of the former holder.
+        used_listed_since = min(
+            (e.listed_at for e in all_executors if not e.is_unused),
+            default=0.0,
         )
-        is_round_complete = live_listed_since > self.poll_after
+        is_round_complete = used_listed_since > self.poll_after
         if is_round_complete or now - self._round_at >= POLL_ROUND_TIMEOUT_S:
             self._round_at = now
             self.poll_after = max(state.takeover_from for state in waiting)
         is_inventory_complete = now >= self._reports_complete_at
         released = []
         for state in waiting:
-            listed_since = live_listed_since
+            listed_since = used_listed_since
             if state.job.is_from_standby:
                 listed_since = all_listed_since
                 if state.takeover_from < self._departures_end_at:
@@ -123,4 +122,4 @@
         """Return when all earlier runs of a job have ended."""
         if state.job.is_from_standby:
             return state.takeover_from + self._standby_timeout_s
-        return self._leases_end_at
+        return self.leases_end_at
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -233,6 +233,19 @@
             return self.clock_ms > known.clock_ms + DEREGISTRATION_GRACE_MS
         return self.sequence >= known.sequence
 
+    @property
+    def key(self) -> "ReportKey":
+        """Identifies this report."""
+        return ReportKey(self.id, self.born_ms, self.sequence)
+
+
+class ReportKey(typing.NamedTuple):
+    """Identifies a report; of one executor's, the later one is greater."""
+
+    id: ExecutorId
+    born_ms: int
+    sequence: int
+
 
 class EndKind(enum.Enum):
     """How a run ended; LAPSED means that its lease expired."""
