Answers name the submission that they answer

Cause: an answer named the job only. The holder's answer to the submission whose caller had left was on its way while the entry host offered the job anew, and the entry host took it for the new one.

Change: the holder sends back the entry host's number of the submission, and an entry host ignores an answer to another one, unless the job is completed. A holder of the former version sends 0, which is taken for any.

--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -133,10 +133,7 @@
 
     def _execute(self, action: work.Action) -> None:
         if isinstance(action, work.Answer | work.LossReport):
-            state = self.engine.jobs.get(action.job)
-            # A caller may submit the job again when it is answered.
-            for entry in tuple(state.answered) if state is not None else ():
-                self._notify(entry, action)
+            self._notify_entries(action)
         elif isinstance(action, work.StartOrder):
             self._start(action)
         elif isinstance(action, work.HoldOrder):
@@ -144,6 +141,16 @@
         else:
             self._stop(action)
 
+    def _notify_entries(self, notice: work.Notice) -> None:
+        state = self.engine.jobs.get(notice.job)
+        if state is None:
+            return
+        # A caller may submit the job again when it is answered.
+        for entry in tuple(state.answered):
+            if isinstance(notice, work.Answer):
+                notice = notice._replace(submission=state.submission_of(entry))
+            self._notify(entry, notice)
+
     def _start(self, order: work.StartOrder) -> None:
         def done(verdict: work.StartVerdict, clock_ms: int) -> None:
             if self._is_closed:
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -293,7 +293,8 @@
     ) -> None:
         """Process an answer, or a report for the next holder of the job.
 
-        A former holder's notice is ignored unless the job is completed.
+        A notice of a former holder, or for a submission whose callers have
+        left, is ignored unless the job is completed.
         """
         state = self._jobs.get(notice.job)
         if state is None:
@@ -303,7 +304,9 @@
         if isinstance(notice, work.LossReport):
             if is_current:
                 state.job = state.job._replace(losses=notice.losses)
-        elif is_current or notice.outcome is work.Outcome.COMPLETED:
+        elif notice.outcome is work.Outcome.COMPLETED or (
+            is_current and notice.submission in (0, state.job.submission)
+        ):
             self._end(notice)
 
     def expire(self, now: float) -> None:
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -431,7 +431,10 @@
         )
         self._runner.cancel(job.id, work.Outcome.CANCELLED)
         answer = work.Answer(
-            job.id, work.Outcome.CANCELLED, reason="cancelled"
+            job.id,
+            work.Outcome.CANCELLED,
+            reason="cancelled",
+            submission=job.submission,
         )
         self._on_notice(entry, answer)
 
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -313,12 +313,13 @@
 
 
 class JobAnswer(typing.NamedTuple):
-    """Final result of a job, from the holder."""
+    """Final result of a job, from the holder, as :class:`work.Answer`."""
 
     job: ids.JobId
     outcome: work.Outcome
     retry_after_ms: int
     reason: str
+    submission: int = 0
 
 
 class JobLosses(typing.NamedTuple):
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -327,6 +327,7 @@
   outcome @1 :Text;
   retryAfterMs @2 :UInt64;
   reason @3 :Text;
+  submission @4 :UInt64;
 }
 
 struct JobLosses { job @0 :Text; losses @1 :List(TaskLoss); }
--- a/chervilwheel/workers/jobstate.py
+++ b/chervilwheel/workers/jobstate.py
@@ -110,6 +110,10 @@
         offer = (job.submission, job.offers)
         return job.submission > 0 and self._offers.get(entry) == offer
 
+    def submission_of(self, entry: ids.InstanceId) -> int:
+        """Return the number of an entry host's latest submission."""
+        return self._offers[entry][0]
+
     def add_offer(self, job: work.Job, entry: ids.InstanceId) -> None:
         """Record another offer; its entry host is answered, too."""
         if self.is_finished:
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -378,12 +378,17 @@
 
 
 class Answer(typing.NamedTuple):
-    """The final answer to a job."""
+    """The final answer to a job.
+
+    :ivar submission: the entry host's number of the submission that it
+        answers, 0 for any
+    """
 
     job: ids.JobId
     outcome: Outcome
     retry_after_ms: int = 0
     reason: str = ""
+    submission: int = 0
 
 
 class LossReport(typing.NamedTuple):
