Standby: wait for the leases of a leader that goes on beyond a cut

What callers could see (TWICE): a task ran on two executors for up to 0.3 s after an entry host was cut off and the leader on the other side was lost 0.5 to 0.75 s later.

Cause: a standby counted the former holder's leases from its own begin, 0.5 s after the cut at the earliest. A leader that is cut off from an entry host uses the runs of its jobs until it drops the host, 0.75 s after the last heartbeat, and may renew their leases until then.

Change: the standby counts from 0.9 s after the last status that it has had, if that is later than its begin: an interval of the status, and the time in which the leader drops the host. It waits up to 0.25 s longer for executors that it can't reach; tasks whose runs are listed aren't delayed.

Tests: StandbyTest in test_handover.py loses the leader 0.40 to 0.76 s after the cut, on executors as slow as the protocol allows.

--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -138,6 +138,7 @@
         is_unused: typing.Callable[
             [work.ExecutorReport], bool
         ] = lambda _report: False,
+        former_until: float = 0.0,
         on_bumps_used: typing.Callable[[], None] = lambda: None,
     ) -> None:
         """Become the holder and take over the executors that have reported.
@@ -152,6 +153,8 @@
         :param speed_rows: speeds that an earlier holder has learned
         :param is_unused: whether the leader before this one had given up the
             executor of a report
+        :param former_until: when the former holder has sent its last order if
+            that may be after this one's begin, seconds
         :param on_bumps_used: called when executors fence the leader off and
             its token can't be raised any more
         """
@@ -163,6 +166,7 @@
             reports_complete_at=reports_complete_at,
             now=now,
             lease_limits=self._lease_limits,
+            former_until=former_until,
         )
         job_engine.speeds.restore(speed_rows, now)
         is_leader = fence.side == tokens.LEADER_SIDE
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -74,6 +74,8 @@
         from all executors that another holder may have used, seconds
     :param now: monotonic time, seconds
     :param lease_limits: lease limits of the executors
+    :param former_until: when the former holder has sent its last order if
+        that may be after this one's begin, seconds
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         reports_complete_at: float,
         now: float,
         lease_limits: leases.LeaseLimits,
+        former_until: float = 0.0,
     ) -> None:
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self._ticked_at = now
@@ -138,6 +141,7 @@
             limits=lease_limits,
             reports_complete_at=reports_complete_at,
             now=now,
+            former_until=former_until,
         )
 
     @property
--- a/chervilwheel/workers/takeover.py
+++ b/chervilwheel/workers/takeover.py
@@ -30,6 +30,8 @@
     :param reports_complete_at: time from which on all executors that another
         holder may have used are known, seconds
     :param now: monotonic time of the first order, seconds
+    :param former_until: when the former holder has sent its last order if
+        that may be after this one's begin, seconds
     :ivar poll_after: the lists requested before this time are too old
     :ivar leases_end_at: when all runs of the former holder have ended, seconds
     """
@@ -40,6 +42,7 @@
         limits: leases.LeaseLimits,
         reports_complete_at: float,
         now: float,
+        former_until: float = 0.0,
     ) -> None:
         self.poll_after = 0.0
         self._round_at = 0.0
@@ -49,10 +52,9 @@
         self._reports_complete_at = reports_complete_at
         self._began_at = now
         self._standby_timeout_s = ENTRY_RELEASE_S + limits.max_run_s
-        # The former holder sent no order after this one began, and no other
-        # holder extends the lease of an executor with runs that it doesn't
-        # know.
-        self.leases_end_at = now + limits.max_run_s
+        # No other holder extends the lease of an executor with runs that it
+        # doesn't know.
+        self.leases_end_at = max(now, former_until) + limits.max_run_s
 
     def __bool__(self) -> bool:
         return bool(self._jobs)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,6 +2,8 @@
 
 import testtools
 
+from chervilwheel.control import entryhost
+from chervilwheel.control import standby
 from chervilwheel.workers import leases
 from chervilwheel.workers import work
 from tests import workerworld
@@ -18,6 +20,14 @@
 # Resolution of the executors' clocks, and two ticks.
 READING_S = 0.002
 TICKS_S = 0.04
+# A standby begins no sooner after a cut. The last status of the leader is
+# older than the cut by an interval of it.
+STANDBY_WAIT_S = (
+    entryhost.HOLDER_SUSPECT_S
+    + entryhost.CONTROL_REPLY_TIMEOUT_S
+    + standby.NO_QUORUM_WAIT_S
+    - entryhost.HEARTBEAT_INTERVAL_S
+)
 # Shorter than the time after which a silent executor is given up.
 SILENCE_S = 50.0
 
@@ -127,3 +137,38 @@
             self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
             late = work.StartVerdict.TOO_LATE.value
             self.assertEqual(0, world.engine.verdicts[late])
+
+
+class StandbyTest(testtools.TestCase):
+    """A leader beyond a cut uses an entry host's runs for some time more."""
+
+    def play(self, *, lost_s):
+        """Lose the leader some time after it was cut off from an entry host.
+
+        :param lost_s: time between the two, seconds
+        """
+        world = LeaseWorld(workers=0)
+        for _ in range(WORKERS):
+            world.add_worker(clock_rate=CLOCK_RATE, stop_s=workerworld.STOP_S)
+        world.run(4.0)
+        far = list(world.workers)[: WORKERS // 2]
+        near = set(world.workers) - set(far)
+        for _ in range(JOBS):
+            world.submit(
+                tasks=2,
+                work_s=WORK_S,
+                patience_ms=20_000,
+                entry=workerworld.FAR_ENTRY,
+            )
+        world.run(0.5)
+        started = sum(world.starts_of.values())
+        # The standby reaches the other half of the workers only.
+        world.cut_off(far, wait_s=STANDBY_WAIT_S)
+        world.run(lost_s)
+        world.net.cut = world.net.cut | near
+        world.run(WORK_S)
+        self.assertGreater(sum(world.starts_of.values()), started)
+
+    def test_it_waits_for_a_leader_that_is_lost_after_the_cut(self):
+        for step in range(10):
+            self.play(lost_s=0.4 + step * 0.04)
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -385,9 +385,11 @@
         """
         self.net.cut = set(names)
         self.engine_of_entry[FAR_ENTRY] = None
-        self.at(wait_s, lambda: self._start_standby(names))
+        # The holder on the near side ends the far jobs at a tick.
+        former_until = self.now + ENTRY_TIMEOUT_S + TICK_INTERVAL_S
+        self.at(wait_s, lambda: self._start_standby(names, former_until))
 
-    def _start_standby(self, names):
+    def _start_standby(self, names, former_until):
         if not self.net.cut:
             return
         self.standby = self._engine_kind(
@@ -395,6 +397,7 @@
             now=self.now,
             reports_complete_at=self.now,
             lease_limits=leases.LeaseLimits(self.max_lease_s, STOP_S),
+            former_until=former_until,
         )
         self.net.unreachable_from[self.standby] = set(self.workers) - set(
             names
