--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -142,6 +142,7 @@
             self._stop(action)
 
     def _notify_entries(self, notice: work.Notice) -> None:
+        """Send a notice to the entry hosts that have offered its job."""
         state = self.engine.jobs.get(notice.job)
         if state is None:
             return
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -45,8 +45,8 @@
 # A standby holder that all executors have fenced off waits this long for the
 # status of another holder, which is sent every 0.15 s.
 FENCED_WAIT_S = 0.2
-# A leader beyond a cut, which may have begun one status after the last one
-# that arrived, uses the runs of this host's jobs until it drops the host.
+# A cut begins up to one interval after the last status that arrived. A leader
+# beyond it uses the runs of this host's jobs until it drops the host.
 FORMER_ORDERS_S = HEARTBEAT_INTERVAL_S + takeover.ENTRY_RELEASE_S
 # Links to entry hosts are closed this long after the last message.
 ENTRY_LINK_UNUSED_S = 2.0
