Logs: tell when and by which proof a task is started again

Change: `holding: begun` has `former_leases_s`; `holding: ended` has `last_order_s`, `own_leases_s` and `unanswered_starts`; the new line `engine: taken-over jobs released` has the jobs, the proof and the executors that hadn't listed their runs; `explain` finds it by the job; metrics count the releases by proof. One line a round of releases and proof, none a task.

No decision changes.

--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -57,8 +57,13 @@
         self._on_bumps_used = on_bumps_used
         self._closed_zones: frozenset[ids.ZoneId] = frozenset()
         self._is_closed = False
+        self._last_order_at = self._now()
         self._heap.call_later(TICK_S, self._tick)
 
+    def last_order_s(self) -> float:
+        """Return the time since a start or a renewal was sent, seconds."""
+        return self._now() - self._last_order_at
+
     def close(self) -> None:
         """Send no more orders.
 
@@ -162,6 +167,7 @@
             self.execute_actions()
 
         if self._may_send_orders() and self._may_start_on(order.executor):
+            self._last_order_at = self._now()
             self._port.start(order, done)
         else:
             self._call_next_tick(lambda: done(work.StartVerdict.NOT_SENT, 0))
@@ -186,6 +192,7 @@
             self.execute_actions()
 
         if self._may_send_orders():
+            self._last_order_at = sent_at
             self._port.hold(order, done)
         else:
             unknown = work.HoldAnswer(work.HoldVerdict.UNKNOWN)
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -21,6 +21,7 @@
 from chervilwheel.workers import leases
 from chervilwheel.workers import ports
 from chervilwheel.workers import speeds
+from chervilwheel.workers import takeover
 from chervilwheel.workers import work
 
 _LOG = logging.getLogger("holding")
@@ -195,6 +196,7 @@
                 "bump": bump,
                 "executors": len(arrived),
                 "closed": sorted(closed_zones),
+                "former_leases_s": round(job_engine.former_leases_s(now), 3),
             },
         )
         for at, report in arrived:
@@ -209,7 +211,17 @@
         """
         if self._runner is not None:
             self.record_token(self._runner.engine.token)
-            _LOG.info("holding: ended", extra={"why": why})
+            now = self._heap.clock.now()
+            job_engine = self._runner.engine
+            _LOG.info(
+                "holding: ended",
+                extra={
+                    "why": why,
+                    "last_order_s": round(self._runner.last_order_s(), 3),
+                    "own_leases_s": round(job_engine.own_leases_s(now), 3),
+                    "unanswered_starts": job_engine.unanswered_starts,
+                },
+            )
             self._runner.close()
             self._runner = None
 
@@ -376,6 +388,10 @@
             "cold_executors": job_engine.count_cold(self._heap.clock.now()),
             "speed_slow": job_engine.speeds.slow,
             "speed_fast": job_engine.speeds.fast,
+            **{
+                f"released_{proof.value}_total": job_engine.releases[proof]
+                for proof in takeover.Proof
+            },
             **{
                 f"start_verdict_{name}": count
                 for name, count in job_engine.verdicts.items()
--- a/chervilwheel/explanation.py
+++ b/chervilwheel/explanation.py
@@ -66,6 +66,9 @@
 
 def _refers_to(row: Row, request: str) -> bool:
     """Whether a record names the request's job or one of its tasks."""
+    jobs = row.get("jobs")
+    if isinstance(jobs, list) and request in jobs:
+        return True
     task = row.get("task")
     task_job = task[0] if isinstance(task, list) and task else None
     return request in (row.get("job"), task_job)
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -149,6 +149,34 @@
         """Number of start orders issued so far."""
         return self._starter.starts
 
+    @property
+    def releases(self) -> typing.Mapping[takeover.Proof, int]:
+        """Number of taken-over jobs released so far, by the proof."""
+        return self._takeovers.releases
+
+    def former_leases_s(self, now: float) -> float:
+        """Return how long runs of the former holder may last, seconds."""
+        return self._takeovers.leases_end_at - now
+
+    def own_leases_s(self, now: float) -> float:
+        """Return how long runs may last if this holder ends, seconds."""
+        ends = [
+            executor.latest_end_at(executor.lease_deadline_ms)
+            for executor in self.executors.values()
+            if executor.runs
+        ]
+        return max(ends, default=now) - now
+
+    @property
+    def unanswered_starts(self) -> int:
+        """Number of start orders whose result isn't known."""
+        unknown = (executors.RunState.STARTING, executors.RunState.UNSURE)
+        return sum(
+            run.state in unknown
+            for executor in self.executors.values()
+            for run in executor.runs.values()
+        )
+
     @property
     def refusals(self) -> int:
         """Number of jobs refused for want of room."""
--- a/chervilwheel/workers/takeover.py
+++ b/chervilwheel/workers/takeover.py
@@ -1,11 +1,16 @@
 """Delays taken-over jobs until their runs under other holders are known."""
 
+import collections
+import enum
+import logging
 import typing
 
 from chervilwheel.workers import executors
 from chervilwheel.workers import jobstate
 from chervilwheel.workers import leases
 
+_LOG = logging.getLogger("engine")
+
 # A holder checks every 0.15 s whether an entry host was silent for 0.6 s, and
 # drops it (control.holding); the leases that it granted then expire.
 ENTRY_RELEASE_S = 0.75
@@ -18,6 +23,16 @@
 # Executors answer a poll within milliseconds; one that hasn't answered by then
 # is probably unreachable.
 FIRST_ANSWERS_S = 0.15
+# Names in one log line; the line has their total number, too.
+MAX_LOGGED_JOBS = 50
+MAX_LOGGED_EXECUTORS = 10
+
+
+class Proof(enum.Enum):
+    """Why a taken-over job may start: what shows where its runs are."""
+
+    LISTS = "lists"
+    LEASES = "leases"
 
 
 class Takeovers:
@@ -34,6 +49,7 @@
         that may be after this one's begin, seconds
     :ivar poll_after: the lists requested before this time are too old
     :ivar leases_end_at: when all runs of the former holder have ended, seconds
+    :ivar releases: number of jobs released by each proof
     """
 
     def __init__(
@@ -45,6 +61,7 @@
         former_until: float = 0.0,
     ) -> None:
         self.poll_after = 0.0
+        self.releases: collections.Counter[Proof] = collections.Counter()
         self._round_at = 0.0
         self._jobs: list[jobstate.JobState] = []
         # Until then executors that have left may be used by another holder.
@@ -96,6 +113,7 @@
             self.poll_after = max(state.takeover_from for state in waiting)
         is_inventory_complete = now >= self._reports_complete_at
         released = []
+        by_proof: dict[Proof, list[jobstate.JobState]] = {}
         for state in waiting:
             listed_since = used_listed_since
             if state.job.is_from_standby:
@@ -109,10 +127,41 @@
             if are_runs_known or now >= ends_at:
                 state.is_taking_over = False
                 released.append(state)
+                proof = Proof.LISTS if are_runs_known else Proof.LEASES
+                by_proof.setdefault(proof, []).append(state)
             else:
                 self._jobs.append(state)
+        for proof, states in by_proof.items():
+            self._log_release(proof, states, all_executors, now)
         return released
 
+    def _log_release(
+        self,
+        proof: Proof,
+        states: typing.Sequence[jobstate.JobState],
+        all_executors: typing.Iterable[executors.Executor],
+        now: float,
+    ) -> None:
+        self.releases[proof] += len(states)
+        offered_at = max(state.takeover_from for state in states)
+        unlisted = [
+            executor.id
+            for executor in all_executors
+            if executor.listed_at <= offered_at
+        ]
+        _LOG.info(
+            "engine: taken-over jobs released",
+            extra={
+                "proof": proof.value,
+                "after_s": round(now - self._began_at, 3),
+                "waited_s": round(now - offered_at, 3),
+                "jobs": [state.job.id for state in states[:MAX_LOGGED_JOBS]],
+                "count": len(states),
+                "unlisted": unlisted[:MAX_LOGGED_EXECUTORS],
+                "unlisted_count": len(unlisted),
+            },
+        )
+
     def expected_release(self, state: jobstate.JobState, now: float) -> float:
         """Return when a delayed job may start tasks, as far as known."""
         waited_s = now - max(state.takeover_from, self._began_at)
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -100,6 +100,15 @@
         result = explanation.explain(JOB, [path])
         self.assertEqual((1, 3), (len(result.rows), result.unreadable))
 
+    def test_a_record_about_several_jobs_is_included(self):
+        released = "engine: taken-over jobs released"
+        path = self.write(
+            "a.log",
+            record("34,700", "c1", released, jobs=["0", JOB]),
+            record("34,710", "c1", released, jobs=["0"]),
+        )
+        self.assertEqual([released], self.messages(path))
+
     def test_the_time_window_spans_midnight(self):
         late = record("x", "e1", "entry: the holder is lost")
         late = late.replace("2026-07-10 16:23:x", "2026-07-10 23:59:59,500")
