--- a/tests/test_holdinglogs.py
+++ b/tests/test_holdinglogs.py
@@ -75,6 +75,11 @@
                 frozenset(pair) for pair in itertools.product([former], others)
             )
             world.run(2.0)
+        (self.role,) = [
+            control.holder_role
+            for host, control in world.controls.items()
+            if control.holder_role.is_active and host != former
+        ]
         return {record.getMessage(): record for record in logs.records}
 
     def test_both_holders_log_the_end_of_the_former_ones_leases(self):
@@ -98,6 +103,9 @@
         self.assertBetween(
             LIMITS.max_run_s, released.after_s, LIMITS.max_run_s + 0.05
         )
+        metrics = self.role.metric_values()
+        self.assertEqual(1, metrics["released_leases_total"])
+        self.assertEqual(0, metrics["released_lists_total"])
 
     def test_a_release_by_the_lists_is_told_apart(self):
         records = self.lose_leader(is_executor_cut=False)
