Test the loss of a leader that has led for a minute, with real hosts

tests/handoverworld.py runs the real control and entry hosts (replicas, elections, holder roles, offers) on the paused clock, with simulated executors on slow clocks that record their runs by themselves. Two tests lose the leader after 52 s of load: by a cut of its zone with its executors, and by a planned stop while the other hosts have no path to them. The next leader begins within 60 ms, tasks start again within 0.86 s of that.

tests/test_handover.py has one engine at a time and switches it at once; it leaves out elections, leader leases, orders in flight and the entry hosts.

loadtool/hostworld.py can suspend a host: its callbacks and what it sends wait until it goes on. Not used by these two tests yet.

--- a/loadtool/hostworld.py
+++ b/loadtool/hostworld.py
@@ -126,6 +126,7 @@
     :ivar lives: number of stops of each host
     :ivar cpu_s: processor time used by each host's callbacks, seconds
     :ivar cuts: pairs of hosts between which data is lost
+    :ivar paused_until: when hosts that are suspended go on, seconds
     :ivar latency_s: time that a message takes, seconds
     :ivar link_rates: capacity of hosts' incoming links, bytes/s; others are
         unlimited
@@ -139,6 +140,7 @@
         self.connects = 0
         self.cpu_s = collections.defaultdict(float)
         self.cuts = set()
+        self.paused_until = {}
         self.link_rates = {}
         self.latency_s = LATENCY_S
         self._link_free_at = collections.defaultdict(float)
@@ -164,8 +166,23 @@
         """Return whether data between two hosts is lost."""
         return frozenset((host, other)) in self.cuts
 
+    def pause_s(self, host):
+        """Return for how long a host is still suspended, seconds."""
+        return max(0.0, self.paused_until.get(host, 0.0) - self.now())
+
+    def now(self):
+        """Return the time, seconds."""
+        return self.heap.clock.now()
+
     def run_on(self, host, callback):
-        """Run a callback of a host and charge it for the time."""
+        """Run a callback of a host and charge it for the time.
+
+        That of a suspended host runs when the host goes on.
+        """
+        pause_s = self.pause_s(host)
+        if pause_s:
+            self.heap.call_later(pause_s, lambda: self.run_on(host, callback))
+            return
         began_s = time.process_time()
         callback()
         self.cpu_s[host] += time.process_time() - began_s
@@ -173,10 +190,13 @@
     def later(self, host, callback, *, extra_s=0.0):
         """Run a callback after the latency unless the host has stopped.
 
+        What a suspended host sends leaves when it goes on.
+
         :param extra_s: delay beyond the latency, seconds
         """
         if host in self.running:
-            self.heap.call_later(self.latency_s + extra_s, callback)
+            delay_s = self.pause_s(host) + self.latency_s + extra_s
+            self.heap.call_later(delay_s, callback)
 
     def connect(self, host, address):
         """Connect to an address; silent if its host has stopped."""
@@ -220,8 +240,8 @@
 
     def __init__(self, network, host):
         self.clock = network.heap.clock
+        self.host = self._host = host
         self._network = network
-        self._host = host
         self._life = network.lives[host]
 
     def call_at(self, when, callback):
--- /dev/null
+++ b/tests/test_leaderloss.py
@@ -0,0 +1,85 @@
+"""Tests of the first second after the loss of a leader with long leases."""
+
+import testtools
+
+from chervilwheel.workers import work
+from tests import handoverworld
+
+# Longer than the leaders in the incident had used the executors for.
+LOAD_S = 52.0
+JOBS = 9
+WORK_S = 3.6
+# From the former leader's end to the next one's begin.
+MAX_GAP_S = 0.06
+# A leader can be lost for this long before another one is elected.
+MAX_ELECTION_S = 0.6
+# Target: the longest time in which tasks wait for the former leader's leases.
+MAX_RELEASE_S = 0.8 + 0.06
+
+
+class LeaderLossTest(testtools.TestCase):
+    """The next leader doesn't reach the executors in the former one's zone."""
+
+    def lose_leader(self, lose):
+        """Load the executors, lose the leader, and check what runs again.
+
+        :param lose: called with the world and the leader
+        """
+        world = handoverworld.World(slow=True)
+        self.addCleanup(world.close)
+        world.start()
+        while world.clock.now() < 1000.0 + LOAD_S:
+            world.submit(tasks=3, work_s=0.3)
+            world.run(0.2)
+        leader = world.leader()
+        zone = world.zone_of(leader)
+        entries = [e for e in world.entries if world.zone_of(e) != zone]
+        for number in range(JOBS):
+            entry = entries[number % len(entries)]
+            world.submit(entry, tasks=2, work_s=WORK_S)
+            world.run(0.03)
+        world.run(0.5)
+        lost = [
+            task for task in world.runs_of(zone) if world.work_s[task.job] > 1
+        ]
+        self.assertGreater(len(lost), 1)
+        ended_at, began_at = self.change_leader(world, leader, lose)
+        self.assertLess(began_at - ended_at, MAX_GAP_S)
+        world.run(WORK_S)
+        for task in lost:
+            *_, started_at = world.executors.started_at[task]
+            self.assertLess(began_at, started_at)
+            self.assertLess(started_at, began_at + MAX_RELEASE_S)
+        world.heal()
+        world.run(WORK_S + 1.0)
+        self.assertEqual({work.Outcome.COMPLETED}, set(world.answers.values()))
+
+    def change_leader(self, world, leader, lose):
+        """Lose the leader; return when it ended and the next one began."""
+        lose(world, leader)
+        until = world.clock.now() + MAX_ELECTION_S
+        ended_at = 0.0
+        while world.clock.now() < until:
+            world.run(0.001)
+            role = world.controls[leader].holder_role
+            if not role.is_active and not ended_at:
+                ended_at = world.clock.now()
+            if world.leader() not in (None, leader):
+                return ended_at or world.clock.now(), world.clock.now()
+        return self.fail("no leader")
+
+    def test_no_task_runs_twice_after_a_cut_of_a_leader_of_a_minute(self):
+        self.lose_leader(
+            lambda world, leader: world.cut_zone(world.zone_of(leader))
+        )
+
+    def test_no_task_runs_twice_after_a_hand_over_by_a_leader_of_a_minute(
+        self,
+    ):
+        def resign(world, leader):
+            zone = world.zone_of(leader)
+            others = [host for host in world.nodes if host != leader]
+            world.cut_paths(others, world.executors_of(zone))
+            world.network.run_on(leader, world.controls[leader].stop)
+
+        self.lose_leader(resign)
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -700,7 +700,7 @@
         is_far = step.preferred_rack not in ("", self.racks[order.executor])
         far_factor = FAR_FACTOR if is_far else 1.0
         verdict = model.start(
-            _format_task(order.task),
+            format_task(order.task),
             order.run,
             cpu=step.room.cpu,
             work_s=self.run_times[order.task.job] * far_factor,
@@ -750,7 +750,7 @@
         if not model.is_up:
             return
         verdict = model.stop(
-            _format_task(order.task),
+            format_task(order.task),
             order.run,
             token=order.token,
             now=self.now,
@@ -823,23 +823,23 @@
             work.HoldVerdict.HELD,
             model.clock_ms(self.now),
             tuple(
-                work.RunStatus(_parse_task(name), run, percent)
+                work.RunStatus(parse_task(name), run, percent)
                 for name, run, percent in model.run_rows(self.now)
             ),
             tuple(
-                work.RunEnd(
-                    number, _parse_task(name), run, END_KINDS[end_kind]
-                )
+                work.RunEnd(number, parse_task(name), run, END_KINDS[end_kind])
                 for number, name, run, end_kind in model.unacknowledged_ends()
             ),
             born_ms=model.born_ms,
         )
 
 
-def _format_task(task):
+def format_task(task):
+    """Return the name under which a worker knows a task."""
     return f"{task.job}.{task.step}.{task.index}"
 
 
-def _parse_task(name):
+def parse_task(name):
+    """Return the task of a name."""
     job, step, index = name.split(".")
     return work.TaskId(ids.JobId(job), int(step), int(index))
