Standbys wait for the former leader of a host that is cut off later

Shown in a simulation with real hosts: an entry host that is cut off from its leader later than a standby, and finds that standby at once, hands its jobs over while the leader goes on with them. A task ran on two executors (TWICE).

Cause: the standby counted the leases of the former holder once, as it began, and went by the lists of the executors that it knew, without those it had given up. The leader uses the jobs' runs for up to 0.9 s after the entry host last heard of it, also on executors that first reported beyond the cut.

Change: an offer tells when the entry host last heard of its former holder (Job.former_silent_ms; a former version leaves it out, which counts as just now). A standby waits for the leases from then on, and doesn't go by lists if that is later than its own last status. FORMER_ORDERS_S moves to takeover.

Evidence: LateFollowerTest fails without the change in both cases (the task in `twice`), and with either half of it alone. With it: test_formerholders 2, test_handover, test_engine and test_departures 79 passed.

The simulation of workers passes the new field, since its standby begins later than the cut; no check changes.

--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -45,9 +45,6 @@
 # A standby holder that all executors have fenced off waits this long for the
 # status of another holder, which is sent every 0.15 s.
 FENCED_WAIT_S = 0.2
-# A cut begins up to one interval after the last status that arrived. A leader
-# beyond it uses the runs of this host's jobs until it drops the host.
-FORMER_ORDERS_S = HEARTBEAT_INTERVAL_S + takeover.ENTRY_RELEASE_S
 # Links to entry hosts are closed this long after the last message.
 ENTRY_LINK_UNUSED_S = 2.0
 # A leader's counts of waiting jobs are shown for this time.
@@ -494,7 +491,7 @@
             closed_zones=self._zone_watch.closed_zones(),
             may_start=self._zone_watch.may_start,
             speed_rows=self._speeds.known(now),
-            former_until=self._holder_seen_at + FORMER_ORDERS_S,
+            former_until=self._holder_seen_at + takeover.FORMER_ORDERS_S,
         )
         self._switch_holder(entryjobs.HolderId(self._me, self._term, True))
         # The jobs of the other hosts wait for it.
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -82,6 +82,8 @@
 
     :ivar is_offer_current: whether the current holder has received the job
     :ivar had_standby: whether a standby holder has received it before
+    :ivar heard_at: when the holder that it was offered to last was last heard
+        of before it was lost, seconds
     """
 
     def __init__(self, *, job: work.Job, submitted_at: float) -> None:
@@ -91,6 +93,7 @@
         self.offers = 0
         self.is_offer_current = False
         self.had_standby = False
+        self.heard_at = submitted_at
         self.waiting: dict[int, Answered] = {}
 
 
@@ -132,6 +135,7 @@
         self._numbers = itertools.count(int(self._heap.clock.now() * 1000) + 1)
         self.is_holder_queryable = False
         self._leader_seen_at = self.holder_lost_at
+        self._holder_seen_at = self.holder_lost_at
         self._pending_cancels: dict[int, _Cancel] = {}
         self._unsettled: dict[ids.JobId, _Unsettled] = {}
         self._queries: dict[int, QueryCallback] = {}
@@ -257,8 +261,11 @@
 
     def set_holder(self, holder: HolderId) -> None:
         """Set the holder and offer it the jobs that it hasn't received."""
-        self.holder = holder
         now = self._heap.clock.now()
+        if holder != self.holder:
+            self._holder_lost()
+        self.holder = holder
+        self._holder_seen_at = now
         for job in list(self._unsettled):
             if now >= self._unsettled[job].expires_at:
                 del self._unsettled[job]
@@ -281,13 +288,18 @@
 
     def clear_holder(self) -> None:
         """Record that there is no holder; the jobs wait for the next one."""
+        self._holder_lost()
         self.holder = None
         self.holder_lost_at = self._heap.clock.now()
-        for state in self._jobs.values():
-            state.is_offer_current = False
         for unsettled in self._unsettled.values():
             unsettled.sent_to = None
 
+    def _holder_lost(self) -> None:
+        for state in self._jobs.values():
+            if state.is_offer_current:
+                state.is_offer_current = False
+                state.heard_at = self._holder_seen_at
+
     def handle_notice(
         self, notice: work.Notice, sender: ids.InstanceId
     ) -> None:
@@ -394,11 +406,12 @@
                 self._withdraw(former.host, state.job.id)
         state.offered_to = self.holder
         state.is_offer_current = True
-        waited_s = self._heap.clock.now() - state.submitted_at
+        now = self._heap.clock.now()
         job = state.job._replace(
             offers=state.offers,
             is_from_standby=state.had_standby,
-            waited_ms=int(waited_s * 1000),
+            waited_ms=int((now - state.submitted_at) * 1000),
+            former_silent_ms=int((now - state.heard_at) * 1000),
         )
         if self.holder.host == self._me:
             self._holder_role.offer(job)
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -138,7 +138,7 @@
         is_unused: typing.Callable[
             [work.ExecutorReport], bool
         ] = lambda _report: False,
-        former_until: float = 0.0,
+        former_until: float | None = None,
         on_bumps_used: typing.Callable[[], None] = lambda: None,
     ) -> None:
         """Become the holder and take over the executors that have reported.
@@ -153,8 +153,8 @@
         :param speed_rows: speeds that an earlier holder has learned
         :param is_unused: whether the leader before this one had given up the
             executor of a report
-        :param former_until: when the former holder has sent its last order if
-            that may be after this one's begin, seconds
+        :param former_until: when a standby's former holder has sent its last
+            order, seconds; None for a leader, which it precedes
         :param on_bumps_used: called when executors fence the leader off and
             its token can't be raised any more
         """
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -302,6 +302,7 @@
   losses @14 :List(TaskLoss);
   coldStartS @15 :Float64;
   coldPerS @16 :Float64;
+  formerSilentMs @17 :UInt32;
 }
 
 struct ExecutorReport {
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -74,8 +74,8 @@
         from all executors that another holder may have used, seconds
     :param now: monotonic time, seconds
     :param lease_limits: lease limits of the executors
-    :param former_until: when the former holder has sent its last order if
-        that may be after this one's begin, seconds
+    :param former_until: when a standby's former holder has sent its last
+        order, seconds; None for a leader, which it precedes
     """
 
     def __init__(
@@ -85,7 +85,7 @@
         reports_complete_at: float,
         now: float,
         lease_limits: leases.LeaseLimits,
-        former_until: float = 0.0,
+        former_until: float | None = None,
     ) -> None:
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self._ticked_at = now
@@ -338,7 +338,7 @@
                     work.Answer(job.id, work.Outcome.LOST, reason="unsettled")
                 )
                 return
-        job = self._after_earlier_runs(job, existing)
+        job = self._after_earlier_runs(job, existing, now)
         self._learn_cold_rate(job)
         state = self._job_table.add(job, entry, now)
         self._losses.offered(state, now)
@@ -355,7 +355,10 @@
             self._refuser.admit(state, now)
 
     def _after_earlier_runs(
-        self, job: work.Job, existing: jobstate.JobState | None
+        self,
+        job: work.Job,
+        existing: jobstate.JobState | None,
+        now: float,
     ) -> work.Job:
         """Return a job that waits for its earlier runs, if it may have any.
 
@@ -367,7 +370,13 @@
                 return job._replace(offers=1)
             return job
         if existing.is_started or existing.is_taking_over:
-            job = job._replace(offers=job.offers + existing.job.offers + 1)
+            heard_at = existing.heard_at
+            if job.offers:
+                heard_at = max(heard_at, now - job.former_silent_ms / 1000)
+            job = job._replace(
+                offers=job.offers + existing.job.offers + 1,
+                former_silent_ms=int((now - heard_at) * 1000),
+            )
         return job._replace(losses=(*job.losses, *existing.losses))
 
     def cancel(
--- a/chervilwheel/workers/jobstate.py
+++ b/chervilwheel/workers/jobstate.py
@@ -65,6 +65,8 @@
     :ivar objective_s: latency objective, seconds; later answers have reduced
         value
     :ivar min_cpu: the smallest CPU need of any of its tasks
+    :ivar heard_at: when its entry host last heard of another holder that it
+        had offered the job to, 0 if there was none, seconds
     :ivar starts: number of start orders issued for its tasks
     :ivar refused_starts: how many of them executors refused
     """
@@ -86,6 +88,9 @@
         self.refused_starts = 0
         self.is_taking_over = job.offers > 0
         self.takeover_from = now
+        self.heard_at = 0.0
+        if job.offers:
+            self.heard_at = now - job.former_silent_ms / 1000
         self.min_cpu = min((step.room.cpu for step in job.steps), default=0)
         self.answer: work.Answer | None = None
         self.ended_at = 0.0
@@ -143,6 +148,7 @@
         self.job = job._replace(spec=self.job.spec, steps=self.job.steps)
         self.is_taking_over = True
         self.takeover_from = now
+        self.heard_at = max(self.heard_at, now - job.former_silent_ms / 1000)
         for row in self.tasks:
             for task in row:
                 first_run = 1 + job.offers * RUN_NUMBERS_PER_OFFER
--- a/chervilwheel/workers/takeover.py
+++ b/chervilwheel/workers/takeover.py
@@ -9,6 +9,11 @@
 # A holder checks every 0.15 s whether an entry host was silent for 0.6 s, and
 # drops it (control.holding); the leases that it granted then expire.
 ENTRY_RELEASE_S = 0.75
+# A cut begins up to one interval after the last status that has arrived. A
+# leader beyond it uses the runs of an entry host's jobs until it drops it.
+FORMER_ORDERS_S = 0.15 + ENTRY_RELEASE_S
+# Entry hosts that are cut off together have received the same last status.
+MAX_STATUS_LAG_S = 0.2
 # An orphaned run that no job has adopted is stopped after this time. Entry
 # hosts offer their jobs again within it: it is two heartbeats long.
 ORPHAN_TIMEOUT_S = 0.3
@@ -30,8 +35,8 @@
     :param reports_complete_at: time from which on all executors that another
         holder may have used are known, seconds
     :param now: monotonic time of the first order, seconds
-    :param former_until: when the former holder has sent its last order if
-        that may be after this one's begin, seconds
+    :param former_until: when a standby's former holder has sent its last
+        order, seconds; None for a leader, which it precedes
     :ivar poll_after: the lists requested before this time are too old
     :ivar leases_end_at: when all runs of the former holder have ended, seconds
     """
@@ -42,7 +47,7 @@
         limits: leases.LeaseLimits,
         reports_complete_at: float,
         now: float,
-        former_until: float = 0.0,
+        former_until: float | None = None,
     ) -> None:
         self.poll_after = 0.0
         self._round_at = 0.0
@@ -51,10 +56,12 @@
         self._departures_end_at = 0.0
         self._reports_complete_at = reports_complete_at
         self._began_at = now
+        self._former_until = former_until
+        self._max_run_s = limits.max_run_s
         self._standby_timeout_s = ENTRY_RELEASE_S + limits.max_run_s
         # No other holder extends the lease of an executor with runs that it
         # doesn't know.
-        self.leases_end_at = max(now, former_until) + limits.max_run_s
+        self.leases_end_at = max(now, former_until or now) + limits.max_run_s
 
     def __bool__(self) -> bool:
         return bool(self._jobs)
@@ -102,6 +109,8 @@
                 listed_since = all_listed_since
                 if state.takeover_from < self._departures_end_at:
                     listed_since = 0.0
+            if self._may_lack_executors(state):
+                listed_since = 0.0
             ends_at = self._leases_end(state)
             are_runs_known = (
                 is_inventory_complete and listed_since > state.takeover_from
@@ -122,6 +131,21 @@
 
     def _leases_end(self, state: jobstate.JobState) -> float:
         """Return when all earlier runs of a job have ended."""
+        ends_at = self.leases_end_at
         if state.job.is_from_standby:
-            return state.takeover_from + self._standby_timeout_s
-        return self.leases_end_at
+            ends_at = state.takeover_from + self._standby_timeout_s
+        if self._former_until is not None:
+            former_until = state.heard_at + FORMER_ORDERS_S
+            ends_at = max(ends_at, former_until + self._max_run_s)
+        return ends_at
+
+    def _may_lack_executors(self, state: jobstate.JobState) -> bool:
+        """Return whether a former holder may use executors not known here.
+
+        A job's entry host has been in touch with it for longer than this
+        standby, which isn't told of the executors that it has found since.
+        """
+        if self._former_until is None:
+            return False
+        heard_at = self._former_until - FORMER_ORDERS_S
+        return state.heard_at > heard_at + MAX_STATUS_LAG_S
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -129,6 +129,8 @@
         start, 0 if unknown
     :ivar cold_per_s: starts per second that a cold one accepts, 0 for no
         limit
+    :ivar former_silent_ms: time since its entry host last heard of the holder
+        that it was offered to before
     """
 
     id: ids.JobId
@@ -148,6 +150,7 @@
     losses: tuple[TaskLoss, ...] = ()
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    former_silent_ms: int = 0
 
     @property
     def critical_path_s(self) -> float:
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -13,6 +13,7 @@
 from chervilwheel import ids
 from chervilwheel.workers import engine
 from chervilwheel.workers import leases
+from chervilwheel.workers import takeover
 from chervilwheel.workers import work
 from standins import workermodel
 
@@ -404,7 +405,10 @@
         )
         self.engine_of_entry[FAR_ENTRY] = self.standby
         self._send_all_reports(self.standby)
-        self._reoffer_far_jobs(self.standby)
+        heard_at = former_until - takeover.FORMER_ORDERS_S
+        self._reoffer_far_jobs(
+            self.standby, former_silent_s=self.now - heard_at
+        )
 
     def heal(self):
         """End the partition: the standby stops, the token is raised."""
@@ -417,17 +421,20 @@
             self.engine.raise_token(self._token, self.now)
         self._reoffer_far_jobs(self.engine, is_from_standby=True)
 
-    def _reoffer_far_jobs(self, holder, *, is_from_standby=False):
+    def _reoffer_far_jobs(self, holder, **changes):
         for job_id, entry in self.entry_of.items():
             if entry == FAR_ENTRY and job_id not in self.answers:
-                self._reoffer(job_id, holder, is_from_standby=is_from_standby)
+                self._reoffer(job_id, holder, **changes)
         self._execute_actions(holder)
 
-    def _reoffer(self, job_id, holder, *, is_from_standby=False):
+    def _reoffer(
+        self, job_id, holder, *, is_from_standby=False, former_silent_s=0.0
+    ):
         job = self.jobs[job_id]
         job = job._replace(
             offers=job.offers + 1,
             is_from_standby=job.is_from_standby or is_from_standby,
+            former_silent_ms=int(former_silent_s * 1000),
         )
         self.jobs[job_id] = job
         holder.offer(job, self.entry_of[job_id], self.now)
