Use a new executor once a quorum has its first report

Callers: nothing seen. Shown in a simulation with real hosts: a leader is cut off from the other control hosts in the moment in which a new executor, or one that it had given up, reports to it. It started a task there before its leadership ended; its successor, which didn't know the executor or took it for unused, started the task on another one (TWICE).

Change: the leader passes such a report on to the other control hosts and starts nothing on the executor before a quorum has acknowledged a message of its replica that was sent after it, on the same link.

Evidence: the first two tests of NewExecutorTest, in which the report comes 0 to 0.12 s after the cut, fail without the change (the task in `twice`), the second also with the first report alone held back; both pass with it. The third one checks that a new executor is used within 0.16 s.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -103,6 +103,8 @@
         self._services_version = 0
         self._pushes = pushes.PushTracker()
         self._speeds = speedtransfer.SpeedTransfer()
+        # Executors and when their first reports were sent to the others.
+        self._sharing: dict[work.ExecutorId, float] = {}
         self._unused = unusedexecutors.UnusedExecutors()
         self._started_at = self._heap.clock.now()
         self._is_stopping = False
@@ -757,6 +759,29 @@
                 self._become_holder()
         elif not self._group.is_leader:
             self.holder_role.end("leadership lost")
+        else:
+            self._share_reports()
+
+    def _share_reports(self) -> None:
+        """Use new executors once a quorum has their first reports.
+
+        Else the next leader may not know of the runs there. The messages of
+        the replica follow the reports on the same links.
+        """
+        now = self._heap.clock.now()
+        acked_at = self.member.quorum_acked_at()
+        shared = [n for n, at in self._sharing.items() if at < acked_at]
+        for name in shared:
+            del self._sharing[name]
+        if shared:
+            self.holder_role.reports_shared(shared)
+        reports = tuple(self.holder_role.take_unshared())
+        if not reports:
+            return
+        self._sharing.update((report.id, now) for report in reports)
+        for name in self._control_hosts():
+            if name != self._cfg.id:
+                self._node.links.send(name, messages.ExecutorNews(reports))
 
     def _check_quorum(self) -> None:
         """Tell the entry hosts when the quorum is lost.
@@ -779,6 +804,7 @@
             or self._heap.clock.now() - at < work.DEPARTURE_RETENTION_S
         ]
         former_term = self._group.former_term
+        self._sharing.clear()
         self.holder_role.begin(
             fence=tokens.Fence(self.member.term, tokens.LEADER_SIDE),
             reports_complete_at=self._started_at + 2 * self._cfg.heartbeat_s,
--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -79,6 +79,11 @@
         )
         self.execute_actions()
 
+    def reports_shared(self, names: typing.Iterable[work.ExecutorId]) -> None:
+        """Use executors, as :meth:`engine.Engine.reports_shared`."""
+        self.engine.reports_shared(names, self._now())
+        self.execute_actions()
+
     def offer(self, job: work.Job, entry: ids.InstanceId) -> None:
         """Submit a job of an entry host to the engine."""
         self.engine.offer(job, entry, self._now())
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -201,6 +201,7 @@
             self._runner.report(
                 report, age_s=now - at, is_unused=is_unused(report)
             )
+        job_engine.shares_reports = is_leader
 
     def end(self, why: str) -> None:
         """Stop being the holder.
@@ -233,6 +234,17 @@
         if self._runner is not None:
             self._runner.report(report, age_s=age_s)
 
+    def take_unshared(self) -> list[work.ExecutorReport]:
+        """Return and clear the reports that another leader may lack."""
+        return (
+            [] if self._runner is None else self._runner.engine.take_unshared()
+        )
+
+    def reports_shared(self, names: typing.Iterable[work.ExecutorId]) -> None:
+        """Use executors that the next leader knows."""
+        if self._runner is not None:
+            self._runner.reports_shared(names)
+
     def offer(self, job: work.Job) -> None:
         """Submit a job of this host."""
         self._offer(job, self._me)
--- a/chervilwheel/replica.py
+++ b/chervilwheel/replica.py
@@ -179,6 +179,16 @@
         acked_at = self._followers.quorum_acked_at(self.config.voters)
         return acked_at + LEASE_FRACTION * self._timing.election_timeout_s
 
+    def quorum_acked_at(self) -> float:
+        """Return when a quorum was last sent what it has acknowledged.
+
+        What was sent to all members before then has reached a quorum. 0 for a
+        member that doesn't lead.
+        """
+        if not self.is_leader:
+            return 0.0
+        return self._followers.quorum_acked_at(self.config.voters)
+
     def is_quorum_reachable(self, now: float) -> bool:
         """Whether the group has a leader or can elect one, as seen here.
 
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -76,6 +76,8 @@
     :param lease_limits: lease limits of the executors
     :param former_until: when a standby's former holder has sent its last
         order, seconds; None for a leader, which it precedes
+    :ivar shares_reports: whether an executor is used only once
+        :meth:`reports_shared` tells that its first report is known elsewhere
     """
 
     def __init__(
@@ -88,11 +90,13 @@
         former_until: float | None = None,
     ) -> None:
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
+        self.shares_reports = False
         self._ticked_at = now
         self._fences_checked_at = now - leases.FENCED_PAUSE_S
         self.verdicts: collections.Counter[str] = collections.Counter()
         self._limits = lease_limits
         self._reports_complete_at = reports_complete_at
+        self._unshared: dict[work.ExecutorId, work.ExecutorReport] = {}
         self._actions: list[work.Action] = []
         self._job_table = jobtable.JobTable(actions=self._actions)
         self._free_index = freeindex.FreeIndex()
@@ -209,6 +213,9 @@
             executor up and not used it since this report
         """
         executor = self.executors.get(report.id)
+        is_first = executor is None or (
+            executor.is_unused and report.key > executor.report.key
+        )
         if executor is None:
             if report.is_gone and age_s > work.DEPARTURE_RETENTION_S:
                 return
@@ -232,6 +239,9 @@
             executor = self._replace_incarnation(
                 executor, report, report.born_ms, report.clock_ms, now
             )
+        if is_first and self.shares_reports:
+            executor.is_unshared = True
+            self._unshared[report.id] = report
         if report.is_gone:
             self._deregister(executor, report, now, age_s=age_s)
             return
@@ -246,6 +256,21 @@
         executor.clock.record_report(report.clock_ms, now, age_s=age_s)
         self._maintain(executor, now)
 
+    def take_unshared(self) -> list[work.ExecutorReport]:
+        """Return and clear the reports that another holder may lack."""
+        reports = list(self._unshared.values())
+        self._unshared.clear()
+        return reports
+
+    def reports_shared(
+        self, names: typing.Iterable[work.ExecutorId], now: float
+    ) -> None:
+        """Use executors that the next holder knows."""
+        for name in names:
+            if name in self.executors and name not in self._unshared:
+                self.executors[name].is_unshared = False
+        self._starter.place(now)
+
     def _deregister(
         self,
         executor: executors.Executor,
@@ -615,6 +640,8 @@
             is_report_due=report.born_ms != born_ms,
             is_closed=report.zone in self._closed_zones,
             cold_rate=former.cold_rate,
+            is_unused=former.is_unused and report is former.report,
+            is_unshared=former.is_unshared,
         )
         executor.clock.record_report(clock_ms, now)
         self._reset_lease(executor, now)
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -131,6 +131,8 @@
     :ivar is_report_due: whether an answer has shown this incarnation and the
         report is that of a former one
     :ivar is_unused: whether no leader uses it before its next report
+    :ivar is_unshared: whether the next leader may not have the report by which
+        it is used, so that nothing starts here
     """
 
     report: work.ExecutorReport
@@ -176,6 +178,7 @@
     born_ms: int = 0
     is_report_due: bool = False
     is_unused: bool = False
+    is_unshared: bool = False
 
     @property
     def id(self) -> work.ExecutorId:
@@ -289,6 +292,7 @@
             and not self.is_retrying
             and not self.is_report_due
             and not self.is_unused
+            and not self.is_unshared
             and not self.report.is_draining
             and not self.report.is_gone
             and not self.is_reserved
--- a/tests/test_formerholders.py
+++ b/tests/test_formerholders.py
@@ -15,6 +15,9 @@
 STANDBY_S = 2 * leases.REPORT_TIMEOUT_S
 # In which a job that is handed on starts again at the latest.
 RESTART_S = 3.0
+# Target: a new executor is used within this time, two heartbeats of the leader
+# and two polls of its leadership.
+MAX_SHARING_S = 0.16
 
 
 class CutPort(test_fencedstandby.FencingPort):
@@ -60,6 +63,9 @@
 
     def start(self, *, entries=2, by_zone=2):
         """Start hosts and executors."""
+        self.shared.starts.clear()
+        self.shared.models.clear()
+        self.shared.unreachable.clear()
         world = self.world(
             entries=entries,
             make_port=lambda heap: CutPort(heap, shared=self.shared),
@@ -117,9 +123,6 @@
 
     def test_a_task_of_a_leader_that_goes_on_is_not_started_beside_it(self):
         for step in range(5):
-            self.shared.starts.clear()
-            self.shared.models.clear()
-            self.shared.unreachable.clear()
             world, first, late = self.start_standby()
             self.reach_only([first], "north")
             self.reach_only([*world.controls, late], "south")
@@ -139,3 +142,81 @@
         leader.report(test_hosts.report("south-9", zone="south"))
         self.shared.unreachable.add((first, work.ExecutorId("x-south-9")))
         self.play(world, first, late)
+
+
+class NewExecutorTest(FormerHoldersTest):
+    """A leader is cut off as an executor reports that it hasn't used."""
+
+    def report_again(self, world, executors):
+        """Let executors report to another host than the leader."""
+        leader = world.holder()
+        host = next(each for each in world.controls if each != leader)
+        for executor in executors:
+            report = executor.report._replace(sequence=2)
+            world.controls[host].report(report)
+
+    def executors(self, world):
+        """Return the executors that the leader knows."""
+        role = world.controls[world.holder()].holder_role
+        return list(role._runner.engine.executors.values())
+
+    def play(self, world, reports, *, offset_s):
+        """Report to a leader alone, and elect another one.
+
+        :param offset_s: time between the cut and the reports, seconds
+        """
+        leader = world.holder()
+        entry = max(world.entries)
+        world.cut_off(leader, [h for h in world.controls if h != leader])
+        world.run(offset_s)
+        for report in reports:
+            world.controls[leader].report(report)
+        self.submit(world, entry)
+        world.run(RESTART_S)
+        self.assertNotEqual(leader, world.entries[entry].jobs.holder.host)
+        self.assertEqual(1, len(self.shared.starts))
+        self.assertEqual([], self.shared.twice)
+
+    def test_a_new_executor_that_only_a_leader_knows_runs_no_task(self):
+        for step in range(5):
+            world = self.start()
+            self.shared.unreachable.update(
+                (world.holder(), executor.id)
+                for executor in self.executors(world)
+            )
+            # The leader finds out that it reaches none of them.
+            world.run(leases.IDLE_RENEWAL_S / 2)
+            self.report_again(world, self.executors(world))
+            world.run(leases.IDLE_RENEWAL_S / 2 + 1.0)
+            new = test_hosts.report("north-9", zone="north")
+            self.play(world, [new], offset_s=0.03 * step)
+
+    def test_one_that_was_given_up_and_reports_to_a_leader_alone_runs_none(
+        self,
+    ):
+        for step in range(5):
+            world = self.start()
+            leader = world.holder()
+            executors = self.executors(world)
+            again, *others = executors
+            self.shared.unreachable.update(
+                (leader, executor.id) for executor in executors
+            )
+            world.run(leases.IDLE_RENEWAL_S + leases.REPORT_TIMEOUT_S + 1.0)
+            self.assertTrue(again.is_unused)
+            self.report_again(world, others)
+            self.shared.unreachable.discard((leader, again.id))
+            self.shared.unreachable.update(
+                (host, again.id) for host in world.controls if host != leader
+            )
+            world.run(0.2)
+            report = again.report._replace(sequence=2)
+            self.play(world, [report], offset_s=0.03 * step)
+
+    def test_a_new_executor_is_used_soon(self):
+        world = self.start()
+        leader = world.controls[world.holder()]
+        leader.report(test_hosts.report("north-9", zone="north"))
+        world.run(MAX_SHARING_S)
+        executors = self.executors(world)
+        self.assertTrue(executors[-1].may_start(world.clock.now()))
