--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -139,7 +139,7 @@
         is_unused: typing.Callable[
             [work.ExecutorReport], bool
         ] = lambda _report: False,
-        former_until: float = 0.0,
+        former_until: float | None = None,
         on_bumps_used: typing.Callable[[], None] = lambda: None,
     ) -> None:
         """Become the holder and take over the executors that have reported.
@@ -154,8 +154,8 @@
         :param speed_rows: speeds that an earlier holder has learned
         :param is_unused: whether the leader before this one had given up the
             executor of a report
-        :param former_until: when the former holder has sent its last order if
-            that may be after this one's begin, seconds
+        :param former_until: when a standby's former holder has sent its last
+            order, seconds; None for a leader, which it precedes
         :param on_bumps_used: called when executors fence the leader off and
             its token can't be raised any more
         """
@@ -203,6 +203,7 @@
             self._runner.report(
                 report, age_s=now - at, is_unused=is_unused(report)
             )
+        job_engine.shares_reports = is_leader
 
     def end(self, why: str) -> None:
         """Stop being the holder.
@@ -245,6 +246,17 @@
         if self._runner is not None:
             self._runner.report(report, age_s=age_s)
 
+    def take_unshared(self) -> list[work.ExecutorReport]:
+        """Return and clear the reports that another leader may lack."""
+        return (
+            [] if self._runner is None else self._runner.engine.take_unshared()
+        )
+
+    def reports_shared(self, names: typing.Iterable[work.ExecutorId]) -> None:
+        """Use executors that the next leader knows."""
+        if self._runner is not None:
+            self._runner.reports_shared(names)
+
     def offer(self, job: work.Job) -> None:
         """Submit a job of this host."""
         self._offer(job, self._me)
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -74,8 +74,10 @@
         from all executors that another holder may have used, seconds
     :param now: monotonic time, seconds
     :param lease_limits: lease limits of the executors
-    :param former_until: when the former holder has sent its last order if
-        that may be after this one's begin, seconds
+    :param former_until: when a standby's former holder has sent its last
+        order, seconds; None for a leader, which it precedes
+    :ivar shares_reports: whether an executor is used only once
+        :meth:`reports_shared` tells that its first report is known elsewhere
     """
 
     def __init__(
@@ -85,14 +87,16 @@
         reports_complete_at: float,
         now: float,
         lease_limits: leases.LeaseLimits,
-        former_until: float = 0.0,
+        former_until: float | None = None,
     ) -> None:
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
+        self.shares_reports = False
         self._ticked_at = now
         self._fences_checked_at = now - leases.FENCED_PAUSE_S
         self.verdicts: collections.Counter[str] = collections.Counter()
         self._limits = lease_limits
         self._reports_complete_at = reports_complete_at
+        self._unshared: dict[work.ExecutorId, work.ExecutorReport] = {}
         self._actions: list[work.Action] = []
         self._job_table = jobtable.JobTable(actions=self._actions)
         self._free_index = freeindex.FreeIndex()
@@ -237,6 +241,9 @@
             executor up and not used it since this report
         """
         executor = self.executors.get(report.id)
+        is_first = executor is None or (
+            executor.is_unused and report.key > executor.report.key
+        )
         if executor is None:
             if report.is_gone and age_s > work.DEPARTURE_RETENTION_S:
                 return
@@ -260,6 +267,9 @@
             executor = self._replace_incarnation(
                 executor, report, report.born_ms, report.clock_ms, now
             )
+        if is_first and self.shares_reports:
+            executor.is_unshared = True
+            self._unshared[report.id] = report
         if report.is_gone:
             self._deregister(executor, report, now, age_s=age_s)
             return
@@ -274,6 +284,21 @@
         executor.clock.record_report(report.clock_ms, now, age_s=age_s)
         self._maintain(executor, now)
 
+    def take_unshared(self) -> list[work.ExecutorReport]:
+        """Return and clear the reports that another holder may lack."""
+        reports = list(self._unshared.values())
+        self._unshared.clear()
+        return reports
+
+    def reports_shared(
+        self, names: typing.Iterable[work.ExecutorId], now: float
+    ) -> None:
+        """Use executors that the next holder knows."""
+        for name in names:
+            if name in self.executors and name not in self._unshared:
+                self.executors[name].is_unshared = False
+        self._starter.place(now)
+
     def _deregister(
         self,
         executor: executors.Executor,
@@ -366,7 +391,7 @@
                     work.Answer(job.id, work.Outcome.LOST, reason="unsettled")
                 )
                 return
-        job = self._after_earlier_runs(job, existing)
+        job = self._after_earlier_runs(job, existing, now)
         self._learn_cold_rate(job)
         state = self._job_table.add(job, entry, now)
         self._losses.offered(state, now)
@@ -383,7 +408,10 @@
             self._refuser.admit(state, now)
 
     def _after_earlier_runs(
-        self, job: work.Job, existing: jobstate.JobState | None
+        self,
+        job: work.Job,
+        existing: jobstate.JobState | None,
+        now: float,
     ) -> work.Job:
         """Return a job that waits for its earlier runs, if it may have any.
 
@@ -395,7 +423,13 @@
                 return job._replace(offers=1)
             return job
         if existing.is_started or existing.is_taking_over:
-            job = job._replace(offers=job.offers + existing.job.offers + 1)
+            heard_at = existing.heard_at
+            if job.offers:
+                heard_at = max(heard_at, now - job.former_silent_ms / 1000)
+            job = job._replace(
+                offers=job.offers + existing.job.offers + 1,
+                former_silent_ms=int((now - heard_at) * 1000),
+            )
         return job._replace(losses=(*job.losses, *existing.losses))
 
     def cancel(
@@ -634,6 +668,8 @@
             is_report_due=report.born_ms != born_ms,
             is_closed=report.zone in self._closed_zones,
             cold_rate=former.cold_rate,
+            is_unused=former.is_unused and report is former.report,
+            is_unshared=former.is_unshared,
         )
         executor.clock.record_report(clock_ms, now)
         self._reset_lease(executor, now)
--- /dev/null
+++ b/tests/test_formerholders.py
@@ -0,0 +1,222 @@
+"""Tests of tasks that a former holder may still run, over real hosts."""
+
+from chervilwheel import ids
+from chervilwheel.workers import leases
+from chervilwheel.workers import work
+from loadtool import hostworld
+from tests import test_fencedstandby
+from tests import test_hosts
+
+CALL_TIMEOUT_S = 0.3
+# Tasks outlast all that a holder waits for.
+TASK_S = 6.0
+# A standby has counted the leases of its own former holder by then, and given
+# executors up that it can't reach.
+STANDBY_S = 2 * leases.REPORT_TIMEOUT_S
+# In which a job that is handed on starts again at the latest.
+RESTART_S = 3.0
+# Target: a new executor is used within this time, two heartbeats of the leader
+# and two polls of its leadership.
+MAX_SHARING_S = 0.16
+
+
+class CutPort(test_fencedstandby.FencingPort):
+    """Calls to executors that a host can't reach time out."""
+
+    def start(self, order, done):
+        """Start a run."""
+        unknown = work.StartVerdict.UNKNOWN
+        if not self._is_cut(order, lambda: done(unknown, 0)):
+            super().start(order, done)
+
+    def stop(self, order, done):
+        """Stop a run."""
+        if not self._is_cut(order, lambda: done(False, 0)):
+            super().stop(order, done)
+
+    def hold(self, order, done):
+        """Renew a lease."""
+        unknown = work.HoldAnswer(work.HoldVerdict.UNKNOWN)
+        if not self._is_cut(order, lambda: done(unknown)):
+            super().hold(order, done)
+
+    def _is_cut(self, order, give_up):
+        is_cut = (self.host, order.executor) in self._shared.unreachable
+        if is_cut:
+            self._later(CALL_TIMEOUT_S, give_up)
+        return is_cut
+
+
+class FormerHoldersTest(test_hosts.HostsTest):
+    """Two sides of a cut, which reach an executor or more each."""
+
+    def setUp(self):
+        super().setUp()
+        self.shared = test_fencedstandby.Executors()
+        self.shared.task_s = TASK_S
+        self.shared.unreachable = set()
+        self.addCleanup(self.check_runs)
+
+    def check_runs(self):
+        """Check that no task ran on two executors at the same time."""
+        self.assertEqual([], self.shared.twice)
+
+    def start(self, *, entries=2, by_zone=2):
+        """Start hosts and executors."""
+        self.shared.starts.clear()
+        self.shared.models.clear()
+        self.shared.unreachable.clear()
+        world = self.world(
+            entries=entries,
+            make_port=lambda heap: CutPort(heap, shared=self.shared),
+        )
+        for host, port in world.ports.items():
+            port.host = host
+        self.report_executors(world, by_zone=by_zone)
+        return world
+
+    def reach_only(self, hosts, zone, *, by_zone=2):
+        """Let hosts reach the executors of one zone only."""
+        for other in hostworld.ZONES:
+            if other != zone:
+                self.shared.unreachable.update(
+                    (host, work.ExecutorId(f"x-{other}-{number}"))
+                    for host in hosts
+                    for number in range(by_zone)
+                )
+
+    def submit(self, world, host, number=1):
+        """Submit a job of one task; return its answers."""
+        answers = []
+        job = test_hosts.job()._replace(id=ids.JobId(f"{number:016x}"))
+        world.entries[host].jobs.submit(job, answers.append)
+        return answers
+
+
+class LateFollowerTest(FormerHoldersTest):
+    """An entry host is cut off from its leader beside an old standby."""
+
+    def start_standby(self):
+        """Start a standby that is cut off; return the world and both hosts."""
+        world = self.start()
+        first, late = sorted(world.entries)
+        world.cut_off(first, [*world.controls, late])
+        return world, first, late
+
+    def play(self, world, first, late, *, offset_s=0.0):
+        """Hand a job from a leader that goes on to the standby.
+
+        :param offset_s: when the entry host is cut off, seconds
+        """
+        world.run(STANDBY_S)
+        self.assertEqual([first], self.standbys(world))
+        self.submit(world, late)
+        world.run(0.5 + offset_s)
+        self.assertEqual(1, len(self.shared.starts))
+        world.network.cuts.discard(frozenset((first, late)))
+        world.cut_off(late, world.controls)
+        world.run(RESTART_S)
+        self.assertEqual(first, world.entries[late].jobs.holder.host)
+        (starts,) = self.shared.starts.values()
+        self.assertEqual(2, len(starts))
+        self.assertEqual([], self.shared.twice)
+
+    def test_a_task_of_a_leader_that_goes_on_is_not_started_beside_it(self):
+        for step in range(5):
+            world, first, late = self.start_standby()
+            self.reach_only([first], "north")
+            self.reach_only([*world.controls, late], "south")
+            self.play(world, first, late, offset_s=0.03 * step)
+
+    def test_a_task_on_an_executor_that_the_standby_lacks_is_not_started(
+        self,
+    ):
+        world, first, late = self.start_standby()
+        leader = world.controls[world.holder()]
+        self.shared.unreachable.update(
+            (host, executor)
+            for host in (*world.controls, late)
+            for executor in leader.holder_role._runner.engine.executors
+        )
+        world.run(1.0)
+        leader.report(test_hosts.report("south-9", zone="south"))
+        self.shared.unreachable.add((first, work.ExecutorId("x-south-9")))
+        self.play(world, first, late)
+
+
+class NewExecutorTest(FormerHoldersTest):
+    """A leader is cut off as an executor reports that it hasn't used."""
+
+    def report_again(self, world, executors):
+        """Let executors report to another host than the leader."""
+        leader = world.holder()
+        host = next(each for each in world.controls if each != leader)
+        for executor in executors:
+            report = executor.report._replace(sequence=2)
+            world.controls[host].report(report)
+
+    def executors(self, world):
+        """Return the executors that the leader knows."""
+        role = world.controls[world.holder()].holder_role
+        return list(role._runner.engine.executors.values())
+
+    def play(self, world, reports, *, offset_s):
+        """Report to a leader alone, and elect another one.
+
+        :param offset_s: time between the cut and the reports, seconds
+        """
+        leader = world.holder()
+        entry = max(world.entries)
+        world.cut_off(leader, [h for h in world.controls if h != leader])
+        world.run(offset_s)
+        for report in reports:
+            world.controls[leader].report(report)
+        self.submit(world, entry)
+        world.run(RESTART_S)
+        self.assertNotEqual(leader, world.entries[entry].jobs.holder.host)
+        self.assertEqual(1, len(self.shared.starts))
+        self.assertEqual([], self.shared.twice)
+
+    def test_a_new_executor_that_only_a_leader_knows_runs_no_task(self):
+        for step in range(5):
+            world = self.start()
+            self.shared.unreachable.update(
+                (world.holder(), executor.id)
+                for executor in self.executors(world)
+            )
+            # The leader finds out that it reaches none of them.
+            world.run(leases.IDLE_RENEWAL_S / 2)
+            self.report_again(world, self.executors(world))
+            world.run(leases.IDLE_RENEWAL_S / 2 + 1.0)
+            new = test_hosts.report("north-9", zone="north")
+            self.play(world, [new], offset_s=0.03 * step)
+
+    def test_one_that_was_given_up_and_reports_to_a_leader_alone_runs_none(
+        self,
+    ):
+        for step in range(5):
+            world = self.start()
+            leader = world.holder()
+            executors = self.executors(world)
+            again, *others = executors
+            self.shared.unreachable.update(
+                (leader, executor.id) for executor in executors
+            )
+            world.run(leases.IDLE_RENEWAL_S + leases.REPORT_TIMEOUT_S + 1.0)
+            self.assertTrue(again.is_unused)
+            self.report_again(world, others)
+            self.shared.unreachable.discard((leader, again.id))
+            self.shared.unreachable.update(
+                (host, again.id) for host in world.controls if host != leader
+            )
+            world.run(0.2)
+            report = again.report._replace(sequence=2)
+            self.play(world, [report], offset_s=0.03 * step)
+
+    def test_a_new_executor_is_used_soon(self):
+        world = self.start()
+        leader = world.controls[world.holder()]
+        leader.report(test_hosts.report("north-9", zone="north"))
+        world.run(MAX_SHARING_S)
+        executors = self.executors(world)
+        self.assertTrue(executors[-1].may_start(world.clock.now()))
