Executors: give one up only after 5 s without an answer, too

Cause, as far as known: a leader gave an executor up after 5 s without a report and one call that failed with its repetition. In a partition reports go to the control hosts on the other side, so that each executor without runs whose call failed once wasn't used again before the partition healed.

Change: it is given up once it has neither reported nor answered for 5 s, and is asked until then.

Evidence: the new test failed before ([] != [ReportKey(id='x1', ...)]); test_unusedexecutors and SilentExecutorTest pass (12).

--- a/chervilwheel/workers/leases.py
+++ b/chervilwheel/workers/leases.py
@@ -118,10 +118,7 @@
     def _is_due(self, executor: executors.Executor, now: float) -> bool:
         waited_s = now - executor.renewal_sent_at
         if executor.unreachable_since or not executor.is_synced:
-            is_live = (
-                bool(executor.runs)
-                or now - executor.last_report_at < REPORT_TIMEOUT_S
-            )
+            is_live = bool(executor.runs) or not _is_silent(executor, now)
             return is_live and waited_s >= RENEWAL_RETRY_S
         if executor.runs:
             return True
@@ -344,10 +341,19 @@
     return (
         bool(executor.unreachable_since)
         and not executor.runs
-        and now - executor.last_report_at >= REPORT_TIMEOUT_S
+        and _is_silent(executor, now)
     )
 
 
+def _is_silent(executor: executors.Executor, now: float) -> bool:
+    """Whether an executor has neither reported nor answered for some time.
+
+    In a network partition the reports may reach the other side only.
+    """
+    heard_at = max(executor.last_report_at, executor.unreachable_since)
+    return now - heard_at >= REPORT_TIMEOUT_S
+
+
 def is_in_contact(executor: executors.Executor, now: float) -> bool:
     """Whether all runs of an executor are known, and it answers and reports.
 
--- a/tests/test_unusedexecutors.py
+++ b/tests/test_unusedexecutors.py
@@ -77,6 +77,20 @@
         executor = self.world.engine.executors[self.name]
         return executor.may_start(self.world.now)
 
+    def test_a_failed_call_is_not_enough_while_reports_go_elsewhere(self):
+        self.world.net.cut.clear()
+        self.world._send_report = lambda *_args, **_options: None
+        self.world.run(leases.REPORT_TIMEOUT_S + 1.0)
+        self.world.submit(tasks=1, work_s=0.1)
+        self.world.net.cut.add(self.name)
+        self.world.run(2.0)
+        self.assertEqual([], self.world.engine.unused)
+        self.world.net.cut.clear()
+        self.world.run(0.5)
+        job = self.world.submit(tasks=1, work_s=0.1)
+        self.world.run(1.0)
+        self.assertIs(work.Outcome.COMPLETED, self.world.outcome(job))
+
     def test_it_is_used_after_its_next_report(self):
         self.world.run(GIVEN_UP_S)
         (key,) = self.world.engine.unused
