Control hosts pass on the first report of an executor

Callers: nothing seen. Shown in a simulation with real hosts: two control hosts have no link to each other, only both to a third one. The first leads, uses an executor that has just reported to it, and is lost; the second is elected by the third one's vote. It had none of the reports that the first one received, so it started the task again on another executor (TWICE), however long ago the report was.

Change: a control host passes on the first report of an executor, also one that it has from another control host, and the first one after a leader has given the executor up.

Evidence: test_a_leader_that_had_no_link_to_the_former_one_knows_of_its_runs failed before (the task in `twice`) and passes now. It fails, too, if neither of the two hosts that were cut off from the leader is elected.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -472,16 +472,31 @@
         self._group.receive(message)
 
     def _on_executor_news(
-        self, _link: peers.MessageLink, message: messages.ExecutorNews
+        self, link: peers.MessageLink, message: messages.ExecutorNews
     ) -> None:
-        for report in message.reports:
-            self._store_report(report)
+        first = tuple(
+            report for report in message.reports if self._store_report(report)
+        )
         self._unused.receive(message)
+        if not first:
+            return
+        # Its sender may have no link to one that leads later.
+        for name in self._control_hosts():
+            if name not in (self._cfg.id, link.peer):
+                self._node.links.send(name, messages.ExecutorNews(first))
+
+    def _store_report(self, report: work.ExecutorReport) -> bool:
+        """Store a report unless a newer one is known.
 
-    def _store_report(self, report: work.ExecutorReport) -> None:
+        :returns: whether an executor may be used from this report on
+        """
         previous = self._reports.get(report.id)
         if previous is not None and not report.replaces(previous[1]):
-            return
+            return False
+        is_first = previous is None or (
+            self._unused.is_listed(previous[1])
+            and not self._unused.is_listed(report)
+        )
         has_changed = previous is None or _stable_fields(
             previous[1]
         ) != _stable_fields(report)
@@ -500,6 +515,7 @@
             self._standby_zones.reset()
             self._is_entry_news_due = True
         self.holder_role.report(report)
+        return is_first
 
     def _on_entry_beat(
         self, link: peers.MessageLink, message: messages.EntryBeat
--- a/chervilwheel/control/unusedexecutors.py
+++ b/chervilwheel/control/unusedexecutors.py
@@ -53,10 +53,12 @@
         :param former_term: the term of that leader. Those of an earlier one
             don't count: a leader since may have used the executor again.
         """
+        return self._term == former_term and self.is_listed(report)
+
+    def is_listed(self, report: work.ExecutorReport) -> bool:
+        """Return whether the last leader heard of has given its sender up."""
         key = self._keys.get(report.id)
-        return (
-            key is not None and self._term == former_term and report.key <= key
-        )
+        return key is not None and report.key <= key
 
     def _store(
         self, term: int, unused: typing.Iterable[work.ReportKey]
--- a/tests/test_formerholders.py
+++ b/tests/test_formerholders.py
@@ -213,6 +213,49 @@
             report = again.report._replace(sequence=2)
             self.play(world, [report], offset_s=0.03 * step)
 
+    def elect_one_that_was_cut_off(self, *, position):
+        """Lose a leader that had no link to one of the other control hosts.
+
+        :param position: which of them
+        :returns: whether that one follows it
+        """
+        world = self.start()
+        leader = world.holder()
+        entry = max(world.entries)
+        others = [host for host in world.controls if host != leader]
+        apart = others[position]
+        world.cut_off(leader, [apart])
+        self.shared.unreachable.update(
+            (leader, executor.id) for executor in self.executors(world)
+        )
+        world.run(leases.IDLE_RENEWAL_S / 2)
+        for executor in self.executors(world):
+            report = executor.report._replace(sequence=2)
+            for host in others:
+                world.controls[host].report(report)
+        world.run(leases.IDLE_RENEWAL_S / 2 + 1.0)
+        new = test_hosts.report("north-9", zone="north")
+        self.shared.unreachable.update((host, new.id) for host in others)
+        world.controls[leader].report(new)
+        self.submit(world, entry)
+        world.run(0.5)
+        self.assertEqual(1, len(self.shared.starts))
+        world.stop(leader)
+        world.run(RESTART_S)
+        (starts,) = self.shared.starts.values()
+        self.assertEqual(2, len(starts))
+        self.assertEqual([], self.shared.twice)
+        return world.holder() == apart
+
+    def test_a_leader_that_had_no_link_to_the_former_one_knows_of_its_runs(
+        self,
+    ):
+        elected = [
+            self.elect_one_that_was_cut_off(position=position)
+            for position in (0, 1)
+        ]
+        self.assertIn(True, elected)
+
     def test_a_new_executor_is_used_soon(self):
         world = self.start()
         leader = world.controls[world.holder()]
