--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -50,6 +50,9 @@
 MIN_TERM_S = 1.0
 # A standby holder, which has no quorum, may hold an executor for this long.
 MAX_REPORT_AGE_S = 60.0
+# The leader renews the reports of executors that answer orders, but whose
+# reports don't arrive, so that the next leader knows them.
+RENEWAL_INTERVAL_S = MAX_REPORT_AGE_S / 3
 # Below the 1 s that the operator's client waits for an answer.
 OPERATOR_TIMEOUT_S = 0.9
 # An executor that leaves ends with the acknowledgement. Before, its runs can
@@ -105,6 +108,7 @@
         self._speeds = speedtransfer.SpeedTransfer()
         # Executors and when their first reports were sent to the others.
         self._sharing: dict[work.ExecutorId, float] = {}
+        self._renewed_at = self._heap.clock.now()
         self._unused = unusedexecutors.UnusedExecutors()
         self._started_at = self._heap.clock.now()
         self._is_stopping = False
@@ -736,6 +740,21 @@
             self._cancel_feed.send_all()
             self.holder_role.send_status(self._status())
             self._send_unused()
+            self._renew_reports()
+
+    def _renew_reports(self) -> None:
+        now = self._heap.clock.now()
+        if now - self._renewed_at < RENEWAL_INTERVAL_S:
+            return
+        self._renewed_at = now
+        reports = tuple(self.holder_role.used_silently(RENEWAL_INTERVAL_S))
+        for report in reports:
+            _, known = self._reports.get(report.id, (0.0, report))
+            if report.replaces(known):
+                self._reports[report.id] = (now, report)
+        for name in self._control_hosts() if reports else ():
+            if name != self._cfg.id:
+                self._node.links.send(name, messages.ExecutorNews(reports))
 
     def _send_unused(self) -> None:
         """Tell the other control hosts of executors that are given up."""
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -234,6 +234,13 @@
         if self._runner is not None:
             self._runner.report(report, age_s=age_s)
 
+    def used_silently(self, silent_s: float) -> list[work.ExecutorReport]:
+        """List reports, as :meth:`engine.Engine.used_silently`."""
+        if self._runner is None:
+            return []
+        now = self._heap.clock.now()
+        return self._runner.engine.used_silently(silent_s, now)
+
     def take_unshared(self) -> list[work.ExecutorReport]:
         """Return and clear the reports that another leader may lack."""
         return (
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -256,6 +256,21 @@
         executor.clock.record_report(report.clock_ms, now, age_s=age_s)
         self._maintain(executor, now)
 
+    def used_silently(
+        self, silent_s: float, now: float
+    ) -> list[work.ExecutorReport]:
+        """Return the last reports of executors used without later ones.
+
+        :param silent_s: time since the last one, seconds
+        """
+        return [
+            executor.report
+            for executor in self.executors.values()
+            if now - executor.last_report_at >= silent_s
+            and (executor.runs or executor.is_synced)
+            and not (executor.is_unused or executor.report.is_gone)
+        ]
+
     def take_unshared(self) -> list[work.ExecutorReport]:
         """Return and clear the reports that another holder may lack."""
         reports = list(self._unshared.values())
--- a/tests/test_formerholders.py
+++ b/tests/test_formerholders.py
@@ -1,6 +1,7 @@
 """Tests of tasks that a former holder may still run, over real hosts."""
 
 from chervilwheel import ids
+from chervilwheel.control import controlhost
 from chervilwheel.workers import leases
 from chervilwheel.workers import work
 from loadtool import hostworld
@@ -85,6 +86,11 @@
                     for number in range(by_zone)
                 )
 
+    def executors(self, world):
+        """Return the executors that the leader knows."""
+        role = world.controls[world.holder()].holder_role
+        return list(role._runner.engine.executors.values())
+
     def submit(self, world, host, number=1):
         """Submit a job of one task; return its answers."""
         answers = []
@@ -155,11 +161,6 @@
             report = executor.report._replace(sequence=2)
             world.controls[host].report(report)
 
-    def executors(self, world):
-        """Return the executors that the leader knows."""
-        role = world.controls[world.holder()].holder_role
-        return list(role._runner.engine.executors.values())
-
     def play(self, world, reports, *, offset_s):
         """Report to a leader alone, and elect another one.
 
@@ -263,3 +264,32 @@
         world.run(MAX_SHARING_S)
         executors = self.executors(world)
         self.assertTrue(executors[-1].may_start(world.clock.now()))
+
+
+class SilentExecutorTest(FormerHoldersTest):
+    """An executor answers orders, but hasn't reported for a minute."""
+
+    def test_a_run_that_outlasts_what_is_kept_of_reports_is_known(self):
+        self.shared.task_s = 3 * RESTART_S
+        world = self.start()
+        leader = world.holder()
+        silent, *others = self.executors(world)
+        self.shared.unreachable.update(
+            (leader, executor.id) for executor in others
+        )
+        self.shared.unreachable.update(
+            (host, silent.id) for host in world.controls if host != leader
+        )
+        pauses = 3
+        for number in range(pauses):
+            world.run((controlhost.MAX_REPORT_AGE_S - RESTART_S) / pauses)
+            for executor in others:
+                report = executor.report._replace(sequence=number + 2)
+                world.controls[leader].report(report)
+        self.submit(world, max(world.entries))
+        while not self.shared.starts:
+            world.run(0.1)
+        world.run(RESTART_S + 1.0)
+        world.stop(leader)
+        world.run(RESTART_S)
+        self.assertEqual([], self.shared.twice)
