--- a/tests/test_formerholders.py
+++ b/tests/test_formerholders.py
@@ -1,6 +1,7 @@
 """Tests of tasks that a former holder may still run, over real hosts."""
 
 from chervilwheel import ids
+from chervilwheel.control import controlhost
 from chervilwheel.workers import leases
 from chervilwheel.workers import work
 from loadtool import hostworld
@@ -85,6 +86,11 @@
                     for number in range(by_zone)
                 )
 
+    def executors(self, world):
+        """Return the executors that the leader knows."""
+        role = world.controls[world.holder()].holder_role
+        return list(role._runner.engine.executors.values())
+
     def submit(self, world, host, number=1):
         """Submit a job of one task; return its answers."""
         answers = []
@@ -155,11 +161,6 @@
             report = executor.report._replace(sequence=2)
             world.controls[host].report(report)
 
-    def executors(self, world):
-        """Return the executors that the leader knows."""
-        role = world.controls[world.holder()].holder_role
-        return list(role._runner.engine.executors.values())
-
     def play(self, world, reports, *, offset_s):
         """Report to a leader alone, and elect another one.
 
@@ -213,6 +214,49 @@
             report = again.report._replace(sequence=2)
             self.play(world, [report], offset_s=0.03 * step)
 
+    def elect_one_that_was_cut_off(self, *, position):
+        """Lose a leader that had no link to one of the other control hosts.
+
+        :param position: which of them
+        :returns: whether that one follows it
+        """
+        world = self.start()
+        leader = world.holder()
+        entry = max(world.entries)
+        others = [host for host in world.controls if host != leader]
+        apart = others[position]
+        world.cut_off(leader, [apart])
+        self.shared.unreachable.update(
+            (leader, executor.id) for executor in self.executors(world)
+        )
+        world.run(leases.IDLE_RENEWAL_S / 2)
+        for executor in self.executors(world):
+            report = executor.report._replace(sequence=2)
+            for host in others:
+                world.controls[host].report(report)
+        world.run(leases.IDLE_RENEWAL_S / 2 + 1.0)
+        new = test_hosts.report("north-9", zone="north")
+        self.shared.unreachable.update((host, new.id) for host in others)
+        world.controls[leader].report(new)
+        self.submit(world, entry)
+        world.run(0.5)
+        self.assertEqual(1, len(self.shared.starts))
+        world.stop(leader)
+        world.run(RESTART_S)
+        (starts,) = self.shared.starts.values()
+        self.assertEqual(2, len(starts))
+        self.assertEqual([], self.shared.twice)
+        return world.holder() == apart
+
+    def test_a_leader_that_had_no_link_to_the_former_one_knows_of_its_runs(
+        self,
+    ):
+        elected = [
+            self.elect_one_that_was_cut_off(position=position)
+            for position in (0, 1)
+        ]
+        self.assertIn(True, elected)
+
     def test_a_new_executor_is_used_soon(self):
         world = self.start()
         leader = world.controls[world.holder()]
@@ -220,3 +264,32 @@
         world.run(MAX_SHARING_S)
         executors = self.executors(world)
         self.assertTrue(executors[-1].may_start(world.clock.now()))
+
+
+class SilentExecutorTest(FormerHoldersTest):
+    """An executor answers orders, but hasn't reported for a minute."""
+
+    def test_a_run_that_outlasts_what_is_kept_of_reports_is_known(self):
+        self.shared.task_s = 3 * RESTART_S
+        world = self.start()
+        leader = world.holder()
+        silent, *others = self.executors(world)
+        self.shared.unreachable.update(
+            (leader, executor.id) for executor in others
+        )
+        self.shared.unreachable.update(
+            (host, silent.id) for host in world.controls if host != leader
+        )
+        pauses = 3
+        for number in range(pauses):
+            world.run((controlhost.MAX_REPORT_AGE_S - RESTART_S) / pauses)
+            for executor in others:
+                report = executor.report._replace(sequence=number + 2)
+                world.controls[leader].report(report)
+        self.submit(world, max(world.entries))
+        while not self.shared.starts:
+            world.run(0.1)
+        world.run(RESTART_S + 1.0)
+        world.stop(leader)
+        world.run(RESTART_S)
+        self.assertEqual([], self.shared.twice)
