Soak: changes of the leader with real processes

Stand-in workers get a clock rate and two hooks; starts are recorded at the time of the run, and their server closes its connections when it is cancelled. The client of the load tool sends further headers, reads empty bodies as {}, and no longer swallows a cancellation that comes together with a response (asyncio.wait_for in 3.11).

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PY = $(VENV)/bin/python
 
-.PHONY: run test setup lint check clean
+.PHONY: run test setup lint check clean soak
 
 $(VENV)/ready: requirements-lock.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -17,10 +17,16 @@
 lint: setup
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/ruff format --check .
-	$(VENV)/bin/flake8 chervilwheel loadtool standins examples tests platform
+	$(VENV)/bin/flake8 chervilwheel loadtool soak standins examples tests platform
 
 test: setup lint
 	$(PY) -m pytest -q -rxX -n 6
 
+SEEDS ?= 50
+SOAK_JOBS ?= 2
+
+soak: setup
+	$(PY) -m soak --seeds $(SEEDS) --jobs $(SOAK_JOBS) --keep run/soak
+
 clean:
 	rm -rf $(VENV) build
--- a/loadtool/client.py
+++ b/loadtool/client.py
@@ -30,29 +30,35 @@
         path: str,
         body: typing.Any,
         *,
-        token: str,
+        token: str = "",
         key: str | None = None,
         timeout_s: float = 60.0,
+        host: str = "",
+        headers: typing.Mapping[str, str] | None = None,
     ) -> Response:
         """Post a JSON body and wait for the complete response.
 
         :param address: ``host:port`` of the instance
         :param key: value of the ``Idempotency-Key`` header, if any
+        :param host: value of the ``Host`` header if it isn't the address
+        :param headers: further headers
         """
         payload = json.dumps(body).encode()
         lines = [
             f"POST {path} HTTP/1.1",
-            f"Host: {address}",
+            f"Host: {host or address}",
             f"Authorization: Bearer {token}",
             f"Content-Length: {len(payload)}",
         ]
+        lines += [
+            f"{name}: {value}" for name, value in (headers or {}).items()
+        ]
         if key is not None:
             lines.append(f"Idempotency-Key: {key}")
         data = ("\r\n".join(lines) + "\r\n\r\n").encode() + payload
         try:
-            return await asyncio.wait_for(
-                self._exchange(address, data), timeout_s
-            )
+            async with asyncio.timeout(timeout_s):
+                return await self._exchange(address, data)
         except (TimeoutError, OSError, EOFError, ValueError):
             return Response(0, {})
 
@@ -77,7 +83,9 @@
             self._idle[address].append((reader, writer))
         else:
             writer.close()
-        return Response(response.status, json.loads(bytes(response.body)))
+        return Response(
+            response.status, json.loads(bytes(response.body) or b"{}")
+        )
 
     async def _acquire(self, address: str) -> typing.Any:
         idle = self._idle.setdefault(address, collections.deque())
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: plays seeded fault schedules against real processes."""
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -15,6 +15,7 @@
 from standins import workermodel
 
 HEARTBEAT_INTERVAL_S = 0.3
+HEARTBEAT_TIMEOUT_S = 0.5
 POLL_INTERVAL_S = 0.005
 # Time it takes to terminate a run: the maximum that the platform allows.
 STOP_S = 0.05
@@ -27,16 +28,25 @@
     :param opts: the parsed command line
     :param number: index of the worker: its name and its offset from the
         first port
+    :param clock_rate: rate of its clock relative to true time
     """
 
-    def __init__(self, *, opts: argparse.Namespace, number: int) -> None:
+    def __init__(
+        self,
+        *,
+        opts: argparse.Namespace,
+        number: int,
+        clock_rate: float = 1.0,
+    ) -> None:
         self.port = opts.port + number
+        self.name = f"w-{number}"
+        self.heartbeat_s = HEARTBEAT_INTERVAL_S
         self._opts = opts
-        self._name = f"w-{number}"
         self._sequence = 0
         self._model = workermodel.WorkerModel(
             cpu=opts.cpu,
             now=time.monotonic(),
+            clock_rate=clock_rate,
             stop_s=STOP_S,
             on_end=self._record_end,
             born_ms=int(time.time() * 1000),
@@ -71,7 +81,8 @@
         """Append a start to the file of ``--runs``, once for each run."""
         if (task, run) not in self._recorded_starts:
             self._recorded_starts.add((task, run))
-            self._append(time.monotonic(), "start", task, run, "")
+            at = self._model.running[task].started_at
+            self._append(at, "start", task, run, "")
 
     def _record_end(self, run: workermodel.ActiveRun, end_kind: str) -> None:
         """Append an end to the file of ``--runs``."""
@@ -80,7 +91,7 @@
     def _append(
         self, at: float, event: str, task: str, run: int, end_kind: str
     ) -> None:
-        row = [at, event, self._name, task, run, end_kind]
+        row = [at, event, self.name, task, run, end_kind]
         self._event_log.write(json.dumps(row) + "\n")
 
     async def _send_heartbeats(self) -> None:
@@ -101,15 +112,16 @@
             ).encode()
             for control in self._opts.control:
                 with contextlib.suppress(OSError, asyncio.TimeoutError):
-                    await asyncio.wait_for(self._post(control, body), 0.5)
+                    async with asyncio.timeout(HEARTBEAT_TIMEOUT_S):
+                        await self._post(control, body)
                     break
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            await asyncio.sleep(self.heartbeat_s)
 
     async def _post(self, address: str, body: bytes) -> None:
         host, port = address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
-            path = f"/v1/instances/{self._name}/heartbeat"
+            path = f"/v1/instances/{self.name}/heartbeat"
             head = (
                 f"POST {path} HTTP/1.1\r\nHost: {address}\r\n"
                 f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
@@ -124,7 +136,11 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        peer = writer.get_extra_info("peername")
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(OSError, asyncio.IncompleteReadError),
+        ):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 size = 0
@@ -134,7 +150,9 @@
                         size = int(value)
                 body = json.loads(await reader.readexactly(size))
                 path = head.split(" ")[1]
+                await self._on_request(peer)
                 status, response = await self._handle_request(path, body)
+                await self._on_response(peer)
                 data = json.dumps(response).encode()
                 head = (
                     f"HTTP/1.1 {status} {REASON_PHRASES[status]}\r\n"
@@ -142,7 +160,12 @@
                 )
                 writer.write(head.encode() + data)
                 await writer.drain()
-        writer.close()
+
+    async def _on_request(self, peer: tuple[str, int]) -> None:
+        """Hold up a request before it is handled."""
+
+    async def _on_response(self, peer: tuple[str, int]) -> None:
+        """Hold up a response before it is sent."""
 
     async def _handle_request(self, path: str, body: dict) -> tuple[int, dict]:
         handlers = {
