Soak: keep what callers sent, and use no connection that is about to close

A first run broke LOST at an undisturbed entry host: a request on a kept connection got no answer within 17 ms, and the host's log doesn't name its job. The entry host closes connections that are idle for 15 s; whether this one was that old wasn't recorded. Clients now discard connections after 10 s, and attempts.jsonl keeps every request with its answer.

--- a/loadtool/client.py
+++ b/loadtool/client.py
@@ -9,6 +9,9 @@
 
 # Large enough for the response of a job with 150 tasks and large results.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Servers close connections that are idle for 15 s; a request sent at that
+# moment gets no response.
+MAX_IDLE_S = 10.0
 
 
 class Response(typing.NamedTuple):
@@ -80,7 +83,8 @@
             writer.close()
             raise
         if response.is_reusable:
-            self._idle[address].append((reader, writer))
+            expires_at = asyncio.get_running_loop().time() + MAX_IDLE_S
+            self._idle[address].append((reader, writer, expires_at))
         else:
             writer.close()
         return Response(
@@ -89,9 +93,11 @@
 
     async def _acquire(self, address: str) -> typing.Any:
         idle = self._idle.setdefault(address, collections.deque())
+        now = asyncio.get_running_loop().time()
         while idle:
-            reader, writer = idle.pop()
-            if not reader.at_eof() and not writer.is_closing():
+            reader, writer, expires_at = idle.pop()
+            is_open = not reader.at_eof() and not writer.is_closing()
+            if is_open and now < expires_at:
                 return reader, writer
             writer.close()
         host, port = address.split(":")
@@ -100,6 +106,6 @@
     def close(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
-            for _, writer in idle:
+            for _, writer, _ in idle:
                 writer.close()
         self._idle.clear()
--- a/soak/playing.py
+++ b/soak/playing.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import collections
+import dataclasses
 import json
 import logging
 import pathlib
@@ -55,6 +56,7 @@
         self._finder = executors.Callers(pids=self._hosts.pids)
         self._runs = folder / "runs.jsonl"
         self._runs.touch()
+        self._attempts = folder / "attempts.jsonl"
         self._executors = [
             self._executor(number, rate)
             for number, rate in enumerate(schedule.rates)
@@ -220,6 +222,8 @@
     def _result(self, unserved: list[str]) -> dict[str, typing.Any]:
         runs = judge.read_runs(self._runs)
         attempts = self._callers.attempts
+        rows = (json.dumps(dataclasses.asdict(each)) for each in attempts)
+        self._attempts.write_text("\n".join(rows) + "\n")
         findings = [
             *judge.check_twice(runs),
             *judge.check_refused(runs, attempts),
