--- a/loadtool/client.py
+++ b/loadtool/client.py
@@ -9,6 +9,9 @@
 
 # Large enough for the response of a job with 150 tasks and large results.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Servers close connections that are idle for 15 s; a request sent at that
+# moment gets no response.
+MAX_IDLE_S = 10.0
 
 
 class Response(typing.NamedTuple):
@@ -30,29 +33,35 @@
         path: str,
         body: typing.Any,
         *,
-        token: str,
+        token: str = "",
         key: str | None = None,
         timeout_s: float = 60.0,
+        host: str = "",
+        headers: typing.Mapping[str, str] | None = None,
     ) -> Response:
         """Post a JSON body and wait for the complete response.
 
         :param address: ``host:port`` of the instance
         :param key: value of the ``Idempotency-Key`` header, if any
+        :param host: value of the ``Host`` header if it isn't the address
+        :param headers: further headers
         """
         payload = json.dumps(body).encode()
         lines = [
             f"POST {path} HTTP/1.1",
-            f"Host: {address}",
+            f"Host: {host or address}",
             f"Authorization: Bearer {token}",
             f"Content-Length: {len(payload)}",
         ]
+        lines += [
+            f"{name}: {value}" for name, value in (headers or {}).items()
+        ]
         if key is not None:
             lines.append(f"Idempotency-Key: {key}")
         data = ("\r\n".join(lines) + "\r\n\r\n").encode() + payload
         try:
-            return await asyncio.wait_for(
-                self._exchange(address, data), timeout_s
-            )
+            async with asyncio.timeout(timeout_s):
+                return await self._exchange(address, data)
         except (TimeoutError, OSError, EOFError, ValueError):
             return Response(0, {})
 
@@ -74,16 +83,21 @@
             writer.close()
             raise
         if response.is_reusable:
-            self._idle[address].append((reader, writer))
+            expires_at = asyncio.get_running_loop().time() + MAX_IDLE_S
+            self._idle[address].append((reader, writer, expires_at))
         else:
             writer.close()
-        return Response(response.status, json.loads(bytes(response.body)))
+        return Response(
+            response.status, json.loads(bytes(response.body) or b"{}")
+        )
 
     async def _acquire(self, address: str) -> typing.Any:
         idle = self._idle.setdefault(address, collections.deque())
+        now = asyncio.get_running_loop().time()
         while idle:
-            reader, writer = idle.pop()
-            if not reader.at_eof() and not writer.is_closing():
+            reader, writer, expires_at = idle.pop()
+            is_open = not reader.at_eof() and not writer.is_closing()
+            if is_open and now < expires_at:
                 return reader, writer
             writer.close()
         host, port = address.split(":")
@@ -92,6 +106,6 @@
     def close(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
-            for _, writer in idle:
+            for _, writer, _ in idle:
                 writer.close()
         self._idle.clear()
