--- a/tests/test_formerholders.py
+++ b/tests/test_formerholders.py
@@ -293,3 +293,38 @@
         world.stop(leader)
         world.run(RESTART_S)
         self.assertEqual([], self.shared.twice)
+
+
+class SharedJobTest(FormerHoldersTest):
+    """A job is sent to entry hosts on both sides of a cut."""
+
+    def play(self, *, is_sent_before):
+        """Cut an entry host off that becomes a standby.
+
+        :param is_sent_before: whether the other one has the job by then
+        """
+        world = self.start()
+        first, second = sorted(world.entries)
+        self.reach_only([first], "north")
+        self.reach_only([*world.controls, second], "south")
+        # The leader finds out which ones it can't reach.
+        world.run(leases.IDLE_RENEWAL_S + 1.0)
+        self.submit(world, first)
+        while not self.shared.starts:
+            world.run(0.1)
+        if is_sent_before:
+            self.submit(world, second)
+            world.run(0.1)
+        world.cut_off(first, [*world.controls, second])
+        if not is_sent_before:
+            world.run(RESTART_S)
+            self.submit(world, second)
+        world.run(2 * RESTART_S)
+        self.assertEqual([first], self.standbys(world))
+        self.assertEqual([], self.shared.twice)
+
+    def test_a_task_that_a_leader_runs_for_another_host_is_not_started(self):
+        self.play(is_sent_before=True)
+
+    def test_a_task_that_a_leader_started_after_the_cut_is_not_started(self):
+        self.play(is_sent_before=False)
