KNOWN-RED: a late start at an executor that started again under its id

Callers: nothing seen.

No change of the code: nothing in the order tells the two incarnations apart.

--- a/tests/test_formerholders.py
+++ b/tests/test_formerholders.py
@@ -1,5 +1,7 @@
 """Tests of tasks that a former holder may still run, over real hosts."""
 
+import testtools
+
 from chervilwheel import ids
 from chervilwheel.control import controlhost
 from chervilwheel.workers import leases
@@ -7,6 +9,8 @@
 from loadtool import hostworld
 from tests import test_fencedstandby
 from tests import test_hosts
+from tests import test_incarnations
+from tests import workerworld
 
 CALL_TIMEOUT_S = 0.3
 # Tasks outlast all that a holder waits for.
@@ -328,3 +332,24 @@
 
     def test_a_task_that_a_leader_started_after_the_cut_is_not_started(self):
         self.play(is_sent_before=False)
+
+
+class LateStartTest(testtools.TestCase):
+    """A start arrives late at an executor that has started again."""
+
+    def test_a_start_given_up_before_a_restart_is_not_carried_out(self):
+        world = workerworld.World(workers=3, reports_born=True)
+        world.run(4.0)
+        world.net = test_incarnations.DelayingNetwork(
+            rng=world.rng, delay_s=2.0
+        )
+        world.submit(tasks=1, work_s=3.0, patience_ms=60_000)
+        (name,) = [
+            each.id for each in world.engine.executors.values() if each.runs
+        ]
+        # So that the task starts on another one.
+        world.drain(name)
+        world.run(0.6)
+        self.assertEqual(1, sum(world.starts_of.values()))
+        world.restart_under_id(name)
+        world.run(3.0)
