A standby waits for the leader of the entry hosts that join it

What callers would have seen: tasks that run twice at once (TWICE), when a zone that was cut off comes back just as the leader is lost.

Cause: a standby counts the leases of the former holder from its own begin. That holds for its own jobs: their leader was lost before. Other entry hosts join it later. Their leader has acted beside the standby until a moment ago, while the standby's time had passed long before, so that their tasks started at once. Likewise it took the list of runs for complete without the executors that it had given up, which that leader had used.

Change: a standby treats a job that another entry host brings from an earlier holder as a leader treats one that comes from a standby: it waits for the lists of all executors, or 0.75 s and the longest run from the offer. No message changes.

Price: jobs of entry hosts that join a standby wait up to 1.53 s from their offer, instead of 0.78 s from its begin, if an executor doesn't answer it.

Evidence: tests/test_leaderloss.py, LateFollowersTest.

--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -92,6 +92,7 @@
         self._may_send_orders: typing.Callable[[], bool] = lambda: False
         self._knows_all_from = math.inf
         self._highest_token = 0
+        self._is_leader = False
         self.entries: dict[ids.InstanceId, EntryLink] = {}
         links.handle(messages.JobOffer, self._on_offer)
         links.handle(messages.JobCancel, self._on_cancel)
@@ -169,9 +170,9 @@
             former_until=former_until,
         )
         job_engine.speeds.restore(speed_rows, now)
-        is_leader = fence.side == tokens.LEADER_SIDE
+        self._is_leader = fence.side == tokens.LEADER_SIDE
         self._knows_all_from = (
-            now + OFFERS_COMPLETE_S if is_leader else math.inf
+            now + OFFERS_COMPLETE_S if self._is_leader else math.inf
         )
         self._may_send_orders = may_send_orders
         self._runner = enginerunner.EngineRunner(
@@ -414,8 +415,13 @@
         self.record_entry(link, followed_holder=self._me)
         if self._runner is None:
             self._send_not_holder(link)
-        else:
-            self._offer(message.job, link.peer)
+            return
+        job = message.job
+        if job.offers and not self._is_leader:
+            # The former holder of a host that joins a standby may have begun
+            # to act, and ended, long after the standby began.
+            job = job._replace(is_from_standby=True)
+        self._offer(job, link.peer)
 
     def _offer(self, job: work.Job, entry: ids.InstanceId) -> None:
         if self._runner is None:
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -120,7 +120,8 @@
     :ivar patience_ms: time left until the caller times out
     :ivar spec: task specification, passed to the executor unchanged
     :ivar offers: number of earlier offers to other holders
-    :ivar is_from_standby: whether one of those holders had no quorum
+    :ivar is_from_standby: whether one of those holders may have acted beside
+        this one, as a standby or its leader does
     :ivar waited_ms: time since its entry host received it
     :ivar submission: the entry host's number of this submission; a caller
         may submit a refused job again under the same id
--- a/tests/handoverworld.py
+++ b/tests/handoverworld.py
@@ -305,6 +305,7 @@
             zones=zones,
             make_port=lambda heap: Port(heap, world=self),
         )
+        self.zones = zones
         self.executors = Executors(heap=self.heap)
         self._addresses = {}
         for number, zone in enumerate(zones * by_zone):
--- a/tests/test_leaderloss.py
+++ b/tests/test_leaderloss.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from chervilwheel.workers import leases
 from chervilwheel.workers import work
 from tests import handoverworld
 
@@ -83,3 +84,51 @@
             world.network.run_on(leader, world.controls[leader].stop)
 
         self.lose_leader(resign)
+
+
+class LateFollowersTest(testtools.TestCase):
+    """Entry hosts change to a standby that began beside their leader."""
+
+    def join_standby(self, *, heals_paths, cut_s=3.0):
+        """Lose the leader when a zone with a standby comes back.
+
+        :param heals_paths: whether the standby reaches all executors then
+        :param cut_s: how long its zone is cut off, seconds
+        """
+        world = handoverworld.World(slow=True)
+        self.addCleanup(world.close)
+        world.start()
+        zone = world.zone_of(world.leader())
+        cut = next(z for z in world.zones if z != zone)
+        standby = next(e for e in world.entries if world.zone_of(e) == cut)
+        followers = [e for e in world.entries if e != standby]
+        world.cut_zone(cut)
+        world.run(cut_s)
+        for number in range(JOBS):
+            world.submit(followers[number % 2], tasks=2, work_s=WORK_S)
+        world.run(0.5)
+        tasks = list(world.executors.started_at)
+        self.assertEqual(2 * JOBS, len(tasks))
+        world.network.cuts.clear()
+        if heals_paths:
+            world.paths.heal()
+        for host in list(world.controls):
+            world.stop(host)
+        world.run(4.0)
+        self.assertTrue(world.entries[standby].jobs.holder.is_standby)
+        self.assertEqual(standby, world.entries[followers[0]].jobs.holder.host)
+        world.run(2 * WORK_S)
+        self.assertEqual({work.Outcome.COMPLETED}, set(world.answers.values()))
+
+    def test_no_task_runs_twice_when_a_standby_gains_followers(self):
+        self.join_standby(heals_paths=True)
+
+    def test_no_task_runs_twice_when_a_standby_gains_followers_not_executors(
+        self,
+    ):
+        self.join_standby(heals_paths=False)
+
+    def test_no_task_runs_twice_on_executors_that_a_standby_has_given_up(self):
+        self.join_standby(
+            heals_paths=False, cut_s=leases.REPORT_TIMEOUT_S + 2.0
+        )
