Given-up jobs: the verdict outlives its holder

What callers saw: a job was answered 502 (executors_crashed) after two crashes under one of its tasks.

Cause: a fact dies with the process that knew it. The verdict was the answer in the holder's table; the losses at the entry host end with the job.

Ways weighed: messages to the hosts that may hold next (no sign that they arrived, lost with a restart of all control hosts, not known to hosts that join later); the entry host sends the verdict along as it does the losses (doesn't help at another entry host, or after its restart); the log of the control hosts, as for cancels. The last is taken: one command for each given-up job, and a job is given up after two crashes of executors or more.

Change: HolderRole records a given-up job beside the cancels, under its id with a mark, before the callers are answered, and again when it is asked for once the record is 30 s old. An engine answers a new offer of such a job with the same 502. Entry hosts have the records as they have cancels; a standby's own go to the next leader like cancels that nobody has acknowledged. 5,000 are kept beside the 50,000 cancels, of which they take no room. No field or message is new: hosts of the former version keep and pass on the records without acting on them.

--- a/chervilwheel/control/cancellog.py
+++ b/chervilwheel/control/cancellog.py
@@ -56,8 +56,20 @@
         """Return whether a job can be recorded."""
         if self.holds(job):
             return True
-        count = len(self._queued) + len(self._sent) + 1
-        return self._table.has_room(count, self._clock_ms())
+        is_given_up = canceltable.is_given_up_record(job)
+        count = len(self._queued) + len(self._sent)
+        if is_given_up:
+            count = sum(
+                canceltable.is_given_up_record(each)
+                for each in itertools.chain(self._queued, self._sent)
+            )
+        return self._table.has_room(
+            count + 1, self._clock_ms(), are_given_up=is_given_up
+        )
+
+    def age_s(self, job: ids.JobId) -> float:
+        """Return how long a job has been in the log, seconds."""
+        return self._table.age_s(job, self._clock_ms())
 
     def record(self, job: ids.JobId, done: canceltable.Recorded) -> None:
         """Commit a cancelled job to the log."""
--- a/chervilwheel/control/canceltable.py
+++ b/chervilwheel/control/canceltable.py
@@ -3,10 +3,15 @@
 A cancel is a fact about a job's id. The control hosts keep it in their log,
 so that it outlives the job, its holder and any one process. Entry hosts keep
 what the leader sends them, for the time in which one of them holds.
+
+That a job was given up since its tasks crash executors is kept beside the
+cancels, under a marked id: hosts of a former version keep and pass on such a
+record, and find no job with it.
 """
 
 import abc
 import itertools
+import math
 import struct
 import typing
 
@@ -20,14 +25,28 @@
 # All jobs that run at the target size at once, 36,000 of one task each, may
 # be cancelled within that time.
 MAX_CANCELS = 50_000
+# Given-up jobs are kept beside as many cancels. Each has crashed two executors
+# or more within the retention.
+MAX_GIVEN_UP = 5_000
 MS_PER_S = 1_000
 # No id contains it.
 ID_SEPARATOR = "\0"
+_GIVEN_UP_MARK = "!"
 _HEAD = struct.Struct("<QQ")
 
 Recorded = typing.Callable[[messages.CancelVerdict], None]
 
 
+def given_up_record(job: ids.JobId) -> ids.JobId:
+    """Return the id under which it is kept that a job was given up."""
+    return ids.JobId(_GIVEN_UP_MARK + job)
+
+
+def is_given_up_record(job: ids.JobId) -> bool:
+    """Return whether an id in the table is that of a given-up job."""
+    return job.startswith(_GIVEN_UP_MARK)
+
+
 class CancelTable:
     """The ids of cancelled jobs, oldest first, and when each was recorded.
 
@@ -40,6 +59,7 @@
     def __init__(self) -> None:
         self.clock_ms = 0
         self._recorded_ms: dict[ids.JobId, int] = {}
+        self._given_up: set[ids.JobId] = set()
 
     def __len__(self) -> int:
         return len(self._recorded_ms)
@@ -47,6 +67,18 @@
     def __contains__(self, job: ids.JobId) -> bool:
         return job in self._recorded_ms
 
+    @property
+    def given_up_count(self) -> int:
+        """The number of records of given-up jobs."""
+        return len(self._given_up)
+
+    def age_s(self, job: ids.JobId, clock_ms: int) -> float:
+        """Return how long ago a job was recorded, infinite if it wasn't."""
+        recorded_ms = self._recorded_ms.get(job)
+        if recorded_ms is None:
+            return math.inf
+        return (clock_ms - recorded_ms) / MS_PER_S
+
     def record(self, jobs: typing.Iterable[ids.JobId], clock_ms: int) -> None:
         """Record cancelled jobs, and forget those past their retention.
 
@@ -63,14 +95,28 @@
         for job in jobs:
             self._recorded_ms.pop(job, None)
             self._recorded_ms[job] = clock_ms
+            if is_given_up_record(job):
+                self._given_up.add(job)
         self._forget()
 
-    def has_room(self, count: int, clock_ms: int) -> bool:
-        """Return whether a number of jobs can be recorded at a time."""
-        if len(self) + count <= MAX_CANCELS:
+    def has_room(
+        self, count: int, clock_ms: int, *, are_given_up: bool = False
+    ) -> bool:
+        """Return whether a number of jobs can be recorded at a time.
+
+        :param are_given_up: whether they are records of given-up jobs
+        """
+        limit = MAX_GIVEN_UP if are_given_up else MAX_CANCELS
+        kept = len(self._given_up)
+        if not are_given_up:
+            kept = len(self) - kept
+        if kept + count <= limit:
             return True
-        expired = sum(1 for _ in self._expired(clock_ms))
-        return len(self) - expired + count <= MAX_CANCELS
+        expired = sum(
+            is_given_up_record(job) == are_given_up
+            for job in self._expired(clock_ms)
+        )
+        return kept - expired + count <= limit
 
     def since(self, clock_ms: int) -> list[ids.JobId]:
         """Return what was recorded after a time."""
@@ -102,12 +148,14 @@
         self._recorded_ms = dict(
             sorted(mine.items(), key=lambda item: item[1])
         )
+        self._given_up = set(filter(is_given_up_record, self._recorded_ms))
         self.clock_ms = max(self.clock_ms, clock_ms)
         self._forget()
 
     def _forget(self) -> None:
         for job in self._expired(self.clock_ms):
             del self._recorded_ms[job]
+            self._given_up.discard(job)
 
     def _expired(self, clock_ms: int) -> list[ids.JobId]:
         oldest_ms = clock_ms - int(RETENTION_S * MS_PER_S)
@@ -130,6 +178,10 @@
     def has_room(self, job: ids.JobId) -> bool:
         """Return whether a job can be recorded."""
 
+    @abc.abstractmethod
+    def age_s(self, job: ids.JobId) -> float:
+        """Return the age of a job's settled record, infinite without one."""
+
     @abc.abstractmethod
     def record(self, job: ids.JobId, done: Recorded) -> None:
         """Record a cancelled job.
@@ -162,7 +214,13 @@
 
     def has_room(self, job: ids.JobId) -> bool:
         """Return whether a job can be recorded."""
-        return self.holds(job) or self._table.has_room(1, self._clock_ms())
+        return self.holds(job) or self._table.has_room(
+            1, self._clock_ms(), are_given_up=is_given_up_record(job)
+        )
+
+    def age_s(self, job: ids.JobId) -> float:
+        """Return how long a job has been recorded here, seconds."""
+        return self._table.age_s(job, self._clock_ms())
 
     def record(self, job: ids.JobId, done: Recorded) -> None:
         """Record a job cancelled by this host."""
--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -455,6 +455,9 @@
         registry.register("syncs", lambda: self._group.syncs)
         registry.register("is_disk_failed", lambda: self._group.is_halted)
         registry.register("cancels", lambda: len(self.machine.cancels))
+        registry.register(
+            "given_up_jobs", lambda: self.machine.cancels.given_up_count
+        )
         registry.register_table("holder_", self.holder_role.metric_values)
 
     def _control_hosts(self) -> list[ids.InstanceId]:
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -121,6 +121,7 @@
             holder_role=self._holder_role,
             version=lambda: self.document_version,
         )
+        self._holder_role.on_unsettled = self.jobs.pass_on_cancel
         self._holder_seen_at = 0.0
         self._control_seen_at = 0.0
         self._suspect_since: float | None = None
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -198,11 +198,9 @@
         Until a leader has acknowledged it, each new holder is sent the cancel
         before any job.
         """
-        if job not in self._unsettled and not self._has_room():
+        if not self.pass_on_cancel(job):
             done(CancelResult.FULL)
             return
-        expires_at = self._heap.clock.now() + canceltable.RETENTION_S
-        self._unsettled[job] = _Unsettled(expires_at=expires_at)
         if self.holder is not None:
             self._send_cancel(self.holder, job, done)
             return
@@ -213,6 +211,14 @@
             )
         done(CancelResult.UNSETTLED)
 
+    def pass_on_cancel(self, job: ids.JobId) -> bool:
+        """Keep a cancel for the next leader; return whether it fits."""
+        if job not in self._unsettled and not self._has_room():
+            return False
+        expires_at = self._heap.clock.now() + canceltable.RETENTION_S
+        self._unsettled[job] = _Unsettled(expires_at=expires_at)
+        return True
+
     def resolve_cancel(
         self, number: int, is_known: bool, verdict: messages.CancelVerdict
     ) -> None:
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -30,6 +30,8 @@
 ENTRY_REMOVAL_S = 10.0
 # Entry hosts offer a new leader their jobs within this time, or give them up.
 OFFERS_COMPLETE_S = 2.0
+# A given-up job that its callers go on sending is recorded again after this.
+GIVEN_UP_REFRESH_S = canceltable.RETENTION_S / 2
 
 Notify = typing.Callable[[work.Notice], None]
 # Receives whether the job was known and unfinished, and the verdict.
@@ -64,7 +66,10 @@
         holder
     :param notify: receives notices about this host's own jobs
     :param lease_limits: the executors' limits for leases
-    :ivar cancels: the cancelled jobs, which are never started here
+    :ivar cancels: the cancelled jobs, which are never started here, and the
+        given-up ones
+    :ivar on_unsettled: receives a record of a given-up job that isn't in the
+        log of the control hosts
     """
 
     def __init__(
@@ -87,6 +92,9 @@
         self.cancels: canceltable.CancelStore = canceltable.KeptCancels(
             heap=heap
         )
+        self.on_unsettled: typing.Callable[[ids.JobId], typing.Any] = (
+            lambda _record: None
+        )
         self._refused_cancels = 0
         self._runner: enginerunner.EngineRunner | None = None
         self._may_send_orders: typing.Callable[[], bool] = lambda: False
@@ -167,6 +175,7 @@
             now=now,
             lease_limits=self._lease_limits,
             former_until=former_until,
+            is_given_up=self._is_given_up,
         )
         job_engine.speeds.restore(speed_rows, now)
         is_leader = fence.side == tokens.LEADER_SIDE
@@ -470,7 +479,48 @@
     ) -> None:
         link.send(messages.JobStatus(message.number, self.stage(message.job)))
 
+    def _is_given_up(self, job: ids.JobId) -> bool:
+        age_s = self.cancels.age_s(canceltable.given_up_record(job))
+        return age_s < canceltable.RETENTION_S
+
     def _on_notice(self, entry: ids.InstanceId, notice: work.Notice) -> None:
+        is_answer = isinstance(notice, work.Answer)
+        if is_answer and notice.reason == engine.CRASHES:
+            self._record_given_up(
+                notice.job, lambda: self._send_notice(entry, notice)
+            )
+        else:
+            self._send_notice(entry, notice)
+
+    def _record_given_up(
+        self, job: ids.JobId, done: typing.Callable[[], None]
+    ) -> None:
+        """Record a given-up job, before its callers are answered.
+
+        While they go on asking for it, it is recorded again from time to time.
+        """
+        record = canceltable.given_up_record(job)
+        if self.cancels.age_s(record) < GIVEN_UP_REFRESH_S:
+            done()
+            return
+        if not self.cancels.has_room(record):
+            _LOG.warning(
+                "holding: a given-up job isn't recorded, too many are kept",
+                extra={"job": job},
+            )
+            done()
+            return
+        runner = self._runner
+
+        def recorded(verdict: messages.CancelVerdict) -> None:
+            if verdict is not messages.CancelVerdict.SETTLED:
+                self.on_unsettled(record)
+            if self._runner is runner:
+                done()
+
+        self.cancels.record(record, recorded)
+
+    def _send_notice(self, entry: ids.InstanceId, notice: work.Notice) -> None:
         if entry == self._me:
             self._notify(notice)
             return
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -76,6 +76,7 @@
     :param lease_limits: lease limits of the executors
     :param former_until: when the former holder has sent its last order if
         that may be after this one's begin, seconds
+    :param is_given_up: whether any holder has given a job up
     """
 
     def __init__(
@@ -86,12 +87,14 @@
         now: float,
         lease_limits: leases.LeaseLimits,
         former_until: float = 0.0,
+        is_given_up: typing.Callable[[ids.JobId], bool] = lambda _job: False,
     ) -> None:
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self._ticked_at = now
         self._fences_checked_at = now - leases.FENCED_PAUSE_S
         self.verdicts: collections.Counter[str] = collections.Counter()
         self._limits = lease_limits
+        self._is_given_up = is_given_up
         self._reports_complete_at = reports_complete_at
         self._actions: list[work.Action] = []
         self._job_table = jobtable.JobTable(actions=self._actions)
@@ -338,6 +341,14 @@
                     work.Answer(job.id, work.Outcome.LOST, reason="unsettled")
                 )
                 return
+        if self._is_given_up(job.id):
+            _LOG.info(
+                "engine: a given-up job is offered again",
+                extra={"job": job.id, "offers": job.offers},
+            )
+            state = self._job_table.add(job, entry, now)
+            self._finish(state, work.Outcome.LOST, now, reason=CRASHES)
+            return
         job = self._after_earlier_runs(job, existing)
         self._learn_cold_rate(job)
         state = self._job_table.add(job, entry, now)
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -11,6 +11,8 @@
 
 from chervilwheel import addresses
 from chervilwheel import ids
+from chervilwheel.control import canceltable
+from chervilwheel.control import holding
 from chervilwheel.workers import engine
 from chervilwheel.workers import leases
 from chervilwheel.workers import work
@@ -166,6 +168,10 @@
         self.starts_of = collections.Counter()
         self.engine = None
         self.standby = None
+        # What the log of the control hosts and a standby know of given-up
+        # jobs.
+        self.given_up = canceltable.CancelTable()
+        self.given_up_far = canceltable.CancelTable()
         self.engine_of_entry = {}
         self.last_heartbeat = {}
         self._engine_kind = engine_class
@@ -363,6 +369,7 @@
             now=self.now,
             reports_complete_at=self.now + (0.0 if knows_all else 3.0),
             lease_limits=leases.LeaseLimits(self.max_lease_s, STOP_S),
+            is_given_up=lambda job: self._is_given_up(job, self.given_up),
         )
         if self.closed_zones:
             self.engine.close_zones(self.closed_zones, self.now)
@@ -384,6 +391,7 @@
         :param wait_s: time until a standby starts there, seconds
         """
         self.net.cut = set(names)
+        self.given_up_far.load(self.given_up.dump())
         self.engine_of_entry[FAR_ENTRY] = None
         # The holder on the near side ends the far jobs at a tick.
         former_until = self.now + ENTRY_TIMEOUT_S + TICK_INTERVAL_S
@@ -398,6 +406,7 @@
             reports_complete_at=self.now,
             lease_limits=leases.LeaseLimits(self.max_lease_s, STOP_S),
             former_until=former_until,
+            is_given_up=lambda job: self._is_given_up(job, self.given_up_far),
         )
         self.net.unreachable_from[self.standby] = set(self.workers) - set(
             names
@@ -410,6 +419,7 @@
         """End the partition: the standby stops, the token is raised."""
         previous_standby, self.standby = self.standby, None
         self.net.cut = set()
+        self.given_up.load(self.given_up_far.dump())
         self.engine_of_entry[FAR_ENTRY] = self.engine
         if previous_standby is not None:
             self.net.unreachable_from.clear()
@@ -632,8 +642,24 @@
             for action in actions:
                 self._execute(holder, action)
 
+    def _is_given_up(self, job, table):
+        record = canceltable.given_up_record(job)
+        age_s = table.age_s(record, int(self.now * 1000))
+        return age_s < canceltable.RETENTION_S
+
+    def _record_given_up(self, job, table):
+        record = canceltable.given_up_record(job)
+        clock_ms = int(self.now * 1000)
+        if table.age_s(record, clock_ms) >= holding.GIVEN_UP_REFRESH_S:
+            table.record([record], clock_ms)
+
     def _execute(self, holder, action):
         if isinstance(action, work.Answer):
+            if action.reason == engine.CRASHES:
+                is_far = holder is self.standby
+                self._record_given_up(
+                    action.job, self.given_up_far if is_far else self.given_up
+                )
             current = self.engine_of_entry.get(
                 self.entry_of.get(action.job), self.engine
             )
