--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -76,6 +76,7 @@
     :param lease_limits: lease limits of the executors
     :param former_until: when a standby's former holder has sent its last
         order, seconds; None for a leader, which it precedes
+    :param is_given_up: whether any holder has given a job up
     :ivar shares_reports: whether an executor is used only once
         :meth:`reports_shared` tells that its first report is known elsewhere
     """
@@ -88,6 +89,7 @@
         now: float,
         lease_limits: leases.LeaseLimits,
         former_until: float | None = None,
+        is_given_up: typing.Callable[[ids.JobId], bool] = lambda _job: False,
     ) -> None:
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self.shares_reports = False
@@ -95,6 +97,7 @@
         self._fences_checked_at = now - leases.FENCED_PAUSE_S
         self.verdicts: collections.Counter[str] = collections.Counter()
         self._limits = lease_limits
+        self._is_given_up = is_given_up
         self._reports_complete_at = reports_complete_at
         self._unshared: dict[work.ExecutorId, work.ExecutorReport] = {}
         self._actions: list[work.Action] = []
@@ -406,6 +409,14 @@
                     work.Answer(job.id, work.Outcome.LOST, reason="unsettled")
                 )
                 return
+        if self._is_given_up(job.id):
+            _LOG.info(
+                "engine: a given-up job is offered again",
+                extra={"job": job.id, "offers": job.offers},
+            )
+            state = self._job_table.add(job, entry, now)
+            self._finish(state, work.Outcome.LOST, now, reason=CRASHES)
+            return
         job = self._after_earlier_runs(job, existing, now)
         self._learn_cold_rate(job)
         state = self._job_table.add(job, entry, now)
