--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -65,6 +65,14 @@
             schedules.save(schedule, self.path)
             self.assertEqual(schedule, schedules.load(self.path))
 
+    def test_mutants_fit_the_code_and_their_schedules_can_be_loaded(self):
+        patches = sorted((ROOT / "soak" / "mutants").glob("*.patch"))
+        self.assertNotEqual([], patches)
+        for path in patches:
+            command = ["git", "apply", "--check", str(path)]
+            subprocess.run(command, cwd=ROOT, check=True)
+            schedules.load(path.with_suffix(".json"))
+
     def load_changed(self, change):
         schedules.save(cut_and_stop(), self.path)
         value = json.loads(self.path.read_text())
