Test a zone with a standby whose cut ends (red)

A leader releases a job that a standby hands over once all executors that it knows have listed their runs. It doesn't know one that first reported in the zone while that was cut off, nor any of them after a cut of more than 60 s, when control hosts have forgotten their reports. It starts their tasks again within 0.3 s of the end of the cut, while the standby's runs go on until their leases end (TWICE). Only reports_complete_at could tell, which counts from the start of the process; a standby does wait for the leases in such a case (Takeovers._may_lack_executors), a leader doesn't.

A cut of 6 s without a new executor holds. No change of product code.

--- a/tests/test_review50.py
+++ b/tests/test_review50.py
@@ -1,5 +1,8 @@
 """Tests of executors that the next holder doesn't know, over real hosts."""
 
+import itertools
+
+from chervilwheel.control import controlhost
 from chervilwheel.workers import leases
 from tests import test_formerholders
 from tests import test_hosts
@@ -7,6 +10,7 @@
 # In which a follower gets the log again. Below the 1.5 s between two reports
 # of an executor.
 CATCH_UP_S = 0.8
+REPORT_INTERVAL_S = 1.5
 # In which an entry host finds a standby that it can reach again.
 FOUND_S = 0.3
 
@@ -81,3 +85,65 @@
         self.assertEqual(first, world.entries[late].jobs.holder.host)
         world.run(test_formerholders.RESTART_S)
         self.assertEqual([], self.shared.twice)
+
+
+class ReturningZoneTest(test_formerholders.FormerHoldersTest):
+    """A zone that was cut off, and had a standby, is linked again."""
+
+    def play(self, reports, *, cut_s, run_s):
+        """Use a zone's executors until its cut ends.
+
+        :param reports: those of executors that report only during the cut
+        :param cut_s: time of the cut before the jobs, seconds
+        :param run_s: time of the cut after them, seconds
+        """
+        self.shared.task_s = run_s + test_formerholders.RESTART_S
+        world = self.start()
+        inside = world.hosts_of("south")
+        outside = world.hosts_of("north")
+        (control,) = [host for host in inside if host in world.controls]
+        (entry,) = [host for host in inside if host in world.entries]
+        known = [executor.report for executor in self.executors(world)]
+        reports += [each for each in known if each.zone == "south"]
+        others = [each for each in known if each not in reports]
+        other = next(host for host in outside if host in world.controls)
+        self.reach_only(inside, "south")
+        self.reach_only(outside, "north")
+        for host in inside:
+            world.cut_off(host, outside)
+
+        def report(seconds):
+            for _ in range(int(seconds / REPORT_INTERVAL_S)):
+                sequence = next(self.sequences)
+                for host, rows in ((control, reports), (other, others)):
+                    for each in rows:
+                        again = each._replace(sequence=sequence)
+                        world.controls[host].report(again)
+                world.run(REPORT_INTERVAL_S)
+
+        report(cut_s)
+        self.assertEqual([entry], self.standbys(world))
+        for number in range(2 * len(reports)):
+            self.submit(world, entry, number + 1)
+        report(run_s)
+        self.assertEqual(2 * len(reports), len(self.shared.starts))
+        self.shared.unreachable.clear()
+        world.network.cuts.clear()
+        world.run(CATCH_UP_S)
+        self.assertFalse(world.entries[entry].jobs.holder.is_standby)
+        self.assertEqual([], self.shared.twice)
+
+    def setUp(self):
+        super().setUp()
+        self.sequences = itertools.count(2)
+
+    def test_a_task_on_an_executor_that_is_new_in_it_is_not_started(self):
+        new = test_hosts.report("south-9", zone="south")
+        self.play([new], cut_s=3.0, run_s=3.0)
+
+    def test_a_task_in_it_is_not_started_after_a_long_cut(self):
+        half_s = controlhost.MAX_REPORT_AGE_S / 2
+        self.play([], cut_s=half_s, run_s=half_s + 3.0)
+
+    def test_a_task_in_it_is_not_started_after_a_short_cut(self):
+        self.play([], cut_s=3.0, run_s=3.0)
