KNOWN-RED: a leader that hears an entry host for longer than it is heard

Callers: nothing seen. Shown in a simulation with real hosts: a cut in one direction, in which heartbeats reach the leader for 0.45 s after its last status has arrived, and the loss of all control hosts 1 s later. The standby counts the leases from 0.9 s after that status; the leader has renewed them for longer, so a task runs on two executors for up to 0.15 s (TWICE).

--- a/tests/test_formerholders.py
+++ b/tests/test_formerholders.py
@@ -154,6 +154,48 @@
         self.play(world, first, late)
 
 
+class OneWayTest(FormerHoldersTest):
+    """A leader hears an entry host that doesn't hear it any more."""
+
+    def cut_one_way(self, world, host, *, heard_s):
+        """Cut a host off, which the control hosts go on to hear for a time.
+
+        :param heard_s: that time, seconds; unacknowledged data waits then
+        """
+        is_cut = world.network.is_cut
+        until = world.clock.now() + heard_s
+
+        def is_lost(sender, receiver):
+            if sender in world.controls and receiver == host:
+                return True
+            if sender == host and receiver in world.controls:
+                return world.clock.now() > until
+            return is_cut(sender, receiver)
+
+        world.network.is_cut = is_lost
+
+    def test_a_standby_waits_for_a_leader_that_hears_its_host_for_longer(self):
+        for lost_s in (1.0, 1.05):
+            world = self.start()
+            first, second = sorted(world.entries)
+            self.reach_only([first], "north")
+            self.reach_only(world.controls, "south")
+            world.run(leases.IDLE_RENEWAL_S + 1.0)
+            self.submit(world, first)
+            while not self.shared.starts:
+                world.run(0.1)
+            world.run(0.05)
+            world.cut_off(first, [second])
+            self.cut_one_way(world, first, heard_s=0.45)
+            world.run(lost_s)
+            for host in world.controls:
+                world.stop(host)
+            world.run(RESTART_S)
+            (starts,) = self.shared.starts.values()
+            self.assertEqual(2, len(starts))
+            self.assertEqual([], self.shared.twice)
+
+
 class NewExecutorTest(FormerHoldersTest):
     """A leader is cut off as an executor reports that it hasn't used."""
 
