--- a/loadtool/hostworld.py
+++ b/loadtool/hostworld.py
@@ -95,10 +95,14 @@
         """
         if self._is_running():
             if not self.is_closed:
-                self._network.run_on(self._host, lambda: self.on_data(data))
+                self._network.run_on(self._host, lambda: self._read(data))
         elif self._host in self._network.running and self.other is not None:
             self._network.later(self._host, self.other.abort)
 
+    def _read(self, data):
+        if not self.is_closed:
+            self.on_data(data)
+
     def _is_running(self):
         return self._network.is_running(self._host, self._life)
 
@@ -114,10 +118,13 @@
 
     def abort(self):
         """Close and call ``on_closed``."""
+        self._network.run_on(self._host, self._abort)
+
+    def _abort(self):
         if not self.is_closed and self._is_running():
             self.close()
             if self.on_closed is not None:
-                self._network.run_on(self._host, self.on_closed)
+                self.on_closed()
 
 
 class Network:
