--- a/tests/handoverworld.py
+++ b/tests/handoverworld.py
@@ -166,6 +166,7 @@
     :param rng: source of the delays
     :ivar lost_orders: pairs of host and executor whose orders are lost
     :ivar lost_answers: pairs of host and executor whose answers are lost
+    :ivar delay_s: additional time that orders take, by host, seconds
     :ivar late_rate: share of the lost orders that arrive seconds later
     :ivar loss_rate: share of the answers that are lost anywhere
     """
@@ -174,6 +175,7 @@
         self.rng = rng
         self.lost_orders = set()
         self.lost_answers = set()
+        self.delay_s = {}
         self.late_rate = 0.0
         self.loss_rate = 0.0
 
@@ -188,7 +190,7 @@
         if pair in self.lost_orders:
             is_late = rng.random() < self.late_rate
             return rng.uniform(0.05, 4.0) if is_late else None
-        return rng.uniform(0.0003, 0.003)
+        return rng.uniform(0.0003, 0.003) + self.delay_s.get(pair[0], 0.0)
 
     def answer_delay_s(self, pair):
         """Return the time that an answer takes, None if it is lost."""
--- a/tests/test_leaderloss.py
+++ b/tests/test_leaderloss.py
@@ -2,9 +2,15 @@
 
 import testtools
 
+from chervilwheel import replica
+from chervilwheel.control import controlhost
+from chervilwheel.control import holding
+from chervilwheel.workers import executors
 from chervilwheel.workers import leases
+from chervilwheel.workers import starter
 from chervilwheel.workers import work
 from tests import handoverworld
+from tests import workerworld
 
 # Longer than the leaders in the incident had used the executors for.
 LOAD_S = 52.0
@@ -132,3 +138,114 @@
         self.join_standby(
             heals_paths=False, cut_s=leases.REPORT_TIMEOUT_S + 2.0
         )
+
+
+class CauseTest(testtools.TestCase):
+    """Each way in which a former leader may act too late, and its mutant."""
+
+    def play(self, lose, *, is_reached, load_s=0.5):
+        """Lose a leader that has just ordered starts.
+
+        :param lose: called with the world and the leader
+        :param is_reached: whether the next leader reaches the executors of
+            the former one's zone
+        :param load_s: how long the leader has used the executors, seconds
+        """
+        world = handoverworld.World(slow=True)
+        self.addCleanup(world.close)
+        world.start()
+        until = world.clock.now() + load_s
+        while world.clock.now() < until:
+            world.submit(tasks=3, work_s=0.3)
+            world.run(0.2)
+        leader = world.leader()
+        zone = world.zone_of(leader)
+        others = [host for host in world.nodes if host != leader]
+        if not is_reached:
+            world.cut_paths(others, world.executors_of(zone))
+        entry = next(e for e in world.entries if world.zone_of(e) != zone)
+        lose(
+            world,
+            leader,
+            lambda: [
+                world.submit(entry, tasks=2, work_s=WORK_S)
+                for _ in range(JOBS)
+            ],
+        )
+        world.run(WORK_S + 1.0)
+        self.assertNotEqual(leader, world.leader())
+        self.assertGreater(world.executors.starts.total(), 2 * JOBS)
+
+    def assert_caught(self, lose, **options):
+        """Check that a task runs twice."""
+        with self.assertRaises(workerworld.InvariantError):
+            self.play(lose, **options)
+
+    def cut_at_work(self, world, leader, submit):
+        """Cut the leader off from all hosts but not from its executors."""
+        submit()
+        world.run(0.5)
+        world.cut_off(leader, [host for host in world.nodes if host != leader])
+
+    def start_late(self, world, leader, submit, *, delay_s):
+        """Stop the leader with all of its start orders under way."""
+        world.run(1.0)
+        world.paths.delay_s[leader] = delay_s
+        submit()
+        world.run(0.01)
+        world.network.run_on(leader, world.controls[leader].stop)
+        # The next leader chooses other executors than this one.
+        for _ in range(JOBS):
+            world.submit(work_s=0.4)
+            world.run(0.01)
+
+    def start_after_leases(self, world, leader, submit):
+        """Let the orders arrive when the leases have been counted out."""
+        self.start_late(world, leader, submit, delay_s=1.8)
+
+    def start_after_lists(self, world, leader, submit):
+        """Let the orders arrive when the executors have listed their runs."""
+        self.start_late(world, leader, submit, delay_s=0.32)
+
+    def test_a_leader_that_was_cut_off_renews_no_leases(self):
+        self.play(self.cut_at_work, is_reached=False)
+
+    def test_a_leader_that_goes_on_is_caught(self):
+        self.patch(
+            controlhost.ControlHost, "_may_send_orders", lambda _host: True
+        )
+        self.patch(replica.Replica, "_tick_leader", replica.Replica._broadcast)
+        self.patch(
+            holding.HolderRole, "remove_silent_entries", lambda _role: None
+        )
+        self.assert_caught(self.cut_at_work, is_reached=False)
+
+    def test_leases_on_a_clock_that_runs_ahead_are_caught(self):
+        began = {}
+
+        def deadline_ms(executor, now, lease_s):
+            first_ms, at = began.setdefault(
+                executor.id, (executor.clock.lower_ms(now), now)
+            )
+            return int(first_ms + (now - at + lease_s) * 1000)
+
+        self.patch(executors.Executor, "deadline_ms", deadline_ms)
+        self.assert_caught(self.cut_at_work, is_reached=False, load_s=LOAD_S)
+
+    def test_leases_counted_out_too_early_are_caught(self):
+        self.patch(
+            leases.LeaseLimits,
+            "max_run_s",
+            property(lambda limits: limits.lease_s / 2),
+        )
+        self.assert_caught(self.cut_at_work, is_reached=False)
+
+    def test_a_start_under_way_is_void_when_the_leases_have_ended(self):
+        self.play(self.start_after_leases, is_reached=False)
+
+    def test_a_start_that_stays_valid_is_caught(self):
+        self.patch(starter, "START_LEASE_S", 5.0)
+        self.assert_caught(self.start_after_leases, is_reached=False)
+
+    def test_a_start_under_way_is_void_when_its_executor_has_listed(self):
+        self.play(self.start_after_lists, is_reached=True)
