--- a/review/lib_2/world.py
+++ b/review/lib_2/world.py
@@ -84,15 +84,29 @@
         self.delay_s: typing.Callable[[], float] = lambda: 0.0
         self.is_cut = False
         self.heartbeat_s = HEARTBEAT_MS / 1000
-        self.starts: list[tuple[float, str, int]] = []
+        self._has_acknowledged = asyncio.Event()
         self.zone = opts.zone
         self._model.guards = guards
 
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"{self._opts.host}:{self.port}"
+
     @property
     def model(self) -> typing.Any:
         """Its runs, lease and lists."""
         return self._model
 
+    async def acknowledged(self) -> float:
+        """Wait for the next acknowledged heartbeat; return its time."""
+        self._has_acknowledged.clear()
+        await self._has_acknowledged.wait()
+        return time.monotonic()
+
+    def _on_acknowledged(self) -> None:
+        self._has_acknowledged.set()
+
     async def _on_request(self, peer: tuple[str, int]) -> None:
         while self.is_cut:
             await asyncio.sleep(0.01)
