--- a/review/lib_2/world.py
+++ b/review/lib_2/world.py
@@ -520,12 +520,16 @@
             json.loads(line)
             for line in self.runs_path.read_text().splitlines()
         ]
-        ends = {tuple(row[2:5]): row for row in rows if row[1] == "end"}
-        found = []
-        for at, event, executor, task, number, _ in rows:
+        found: list[Run] = []
+        for at, event, executor, task, number, how in rows:
             if event == "start":
-                end = ends.get((executor, task, number), [math.inf, ""])
-                found.append(Run(task, number, executor, at, end[0], end[-1]))
+                found.append(Run(task, number, executor, at, math.inf, ""))
+                continue
+            key = (task, number, executor)
+            for index, run in enumerate(found):
+                if run[:3] == key and not run.end:
+                    found[index] = run._replace(ended_at=at, end=how)
+                    break
         return found
 
     def write_runs(self) -> None:
