--- a/review/lib_2/world.py
+++ b/review/lib_2/world.py
@@ -88,6 +88,12 @@
         self.zone = opts.zone
         self._model.guards = guards
 
+    def start_again(self) -> None:
+        """Begin as another incarnation under the same id."""
+        self.restart()
+        self._recorded_starts.clear()
+        self._begun.set()
+
     @property
     def address(self) -> str:
         """Where it listens."""
