--- a/review/lib_2/world.py
+++ b/review/lib_2/world.py
@@ -28,7 +28,8 @@
 from standins import workers  # noqa: E402
 
 ZONES = ("a", "b", "c")
-HELD, BROKEN, CANNOT_RUN = 0, 1, 2
+# Translated by run.sh, since Python itself ends with 1 after an error.
+HELD, BROKEN, CANNOT_RUN = 0, 10, 2
 SERVICE = "service"
 # As in the users' deployments.
 HEARTBEAT_MS = 1_500
@@ -71,22 +72,25 @@
 
 
 class Executor(workers.Worker):
-    """A stand-in executor that answers after a delay.
+    """A stand-in executor that says all that the pages ask of it.
 
     :ivar delay_s: time that each answer is on its way, seconds
-    :ivar is_cut: whether it is cut off from all hosts and runs on
+    :ivar address: where it can be reached
+    :ivar orders: when each order arrived
     """
 
-    def __init__(
-        self, *, opts: argparse.Namespace, number: int, guards: bool = True
-    ) -> None:
+    def __init__(self, *, opts: argparse.Namespace, number: int) -> None:
         super().__init__(opts=opts, number=number)
-        self.delay_s: typing.Callable[[], float] = lambda: 0.0
-        self.is_cut = False
+        self.delay_s = 0.0
+        self.address = f"{opts.host}:{self.port}"
         self.heartbeat_s = HEARTBEAT_MS / 1000
-        self._has_acknowledged = asyncio.Event()
         self.zone = opts.zone
-        self._model.guards = guards
+        self.orders: list[float] = []
+
+    @property
+    def model(self) -> typing.Any:
+        """Its runs, lease and lists."""
+        return self._model
 
     def start_again(self) -> None:
         """Begin as another incarnation under the same id."""
@@ -94,42 +98,52 @@
         self._recorded_starts.clear()
         self._begun.set()
 
-    @property
-    def address(self) -> str:
-        """Where it listens."""
-        return f"{self._opts.host}:{self.port}"
-
-    @property
-    def model(self) -> typing.Any:
-        """Its runs, lease and lists."""
-        return self._model
-
-    async def acknowledged(self) -> float:
-        """Wait for the next acknowledged heartbeat; return its time."""
-        self._has_acknowledged.clear()
-        await self._has_acknowledged.wait()
-        return time.monotonic()
+    def heartbeat(self) -> dict[str, typing.Any]:
+        """Return what it says of itself, with all fields of the page."""
+        return {
+            "service": self._opts.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "capacity": {"cpu": self._opts.cpu, "memMb": 65_536, "gpu": 0},
+            "labels": ["a", "r1"],
+            "clockMs": self._model.clock_ms(time.monotonic()),
+            "sequence": self._sequence,
+            "born": self._model.born_ms,
+        }
 
-    def _on_acknowledged(self) -> None:
-        self._has_acknowledged.set()
+    async def _send_heartbeats(self) -> None:
+        while True:
+            self._sequence += 1
+            body = json.dumps(self.heartbeat()).encode()
+            for control in self._opts.control:
+                path = f"/v1/instances/{self.instance}/heartbeat"
+                status, _ = await request(
+                    control, "POST", path, body, timeout_s=1.0
+                )
+                if status == 200:
+                    break
+            await asyncio.sleep(self.heartbeat_s)
 
     async def _on_request(self, peer: tuple[str, int]) -> None:
-        while self.is_cut:
-            await asyncio.sleep(0.01)
+        self.orders.append(time.monotonic())
 
     async def _on_response(self, peer: tuple[str, int]) -> None:
-        delay_s = self.delay_s()
-        if delay_s:
-            await asyncio.sleep(delay_s)
-        while self.is_cut:
-            await asyncio.sleep(0.01)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+
+    async def _handle_hold(self, body: dict) -> tuple[typing.Any, dict]:
+        verdict, fields = await super()._handle_hold(body)
+        for row in fields.get("running", ()):
+            run = self._model.running.get(row[0])
+            row.append(run.cpu if run is not None else 0)
+        return verdict, fields
 
-    async def _post(
-        self, address: str, body: bytes, action: str = "heartbeat"
-    ) -> None:
-        if self.is_cut:
-            raise OSError("cut off")
-        await super()._post(address, body, action)
+
+_Pair = tuple[asyncio.StreamWriter, asyncio.StreamWriter]
 
 
 class Relay:
@@ -144,7 +158,7 @@
     ) -> None:
         self._listen = listen
         self._target = target
-        self._sockets: set[asyncio.StreamWriter] = set()
+        self._pairs: dict[_Pair, None] = {}
         self._server: asyncio.Server | None = None
 
     async def open(self) -> None:
@@ -156,16 +170,25 @@
         if self._server is not None:
             self._server.close()
 
-    def reset(self) -> int:
-        """Reset all open connections at both ends; return their number."""
-        sockets, self._sockets = self._sockets, set()
-        for writer in sockets:
-            sock = writer.get_extra_info("socket")
-            with contextlib.suppress(OSError):
-                linger = struct.pack("ii", 1, 0)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
-        return len(sockets) // 2
+    @property
+    def count(self) -> int:
+        """Number of open connections."""
+        return len(self._pairs)
+
+    def reset(self, most: int) -> int:
+        """Reset open connections at both ends; return their number."""
+        pairs = list(self._pairs)[:most]
+        for pair in pairs:
+            self._pairs.pop(pair, None)
+            for writer in pair:
+                sock = writer.get_extra_info("socket")
+                with contextlib.suppress(OSError):
+                    linger = struct.pack("ii", 1, 0)
+                    sock.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, linger
+                    )
+                writer.transport.abort()
+        return len(pairs)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -177,11 +200,11 @@
         except OSError:
             writer.transport.abort()
             return
-        self._sockets |= {writer, far_writer}
+        self._pairs[writer, far_writer] = None
         await asyncio.gather(
             _pump(reader, far_writer), _pump(far_reader, writer)
         )
-        self._sockets -= {writer, far_writer}
+        self._pairs.pop((writer, far_writer), None)
 
 
 async def _pump(
@@ -224,7 +247,7 @@
 class World:
     """The processes of one case.
 
-    :param folder: the folder of the case, for its record
+    :param record: the record of the case
     :param controls: number of control hosts, one a zone
     :param entries: number of entry hosts, one a zone in turn
     :param executors: number of executors, one a zone in turn
@@ -234,18 +257,17 @@
 
     def __init__(
         self,
-        folder: pathlib.Path,
+        record: Record,
         *,
         controls: int = 3,
         entries: int = 3,
         executors: int = 6,
         cpu: int = 16_000,
-        guards: bool = True,
         relayed: str = "",
     ) -> None:
         self.relayed = relayed
         self.relays: dict[str, Relay] = {}
-        self.record = Record(folder / "record.txt")
+        self.record = record
         self.controls = [f"control-{n}" for n in range(controls)]
         self.entries = [f"entry-{n}" for n in range(entries)]
         self.attempts: list[Attempt] = []
@@ -278,7 +300,6 @@
                 Executor(
                     opts=argparse.Namespace(**fields),
                     number=number,
-                    guards=guards,
                 )
             )
 
@@ -292,14 +313,16 @@
                 *("own_peer", "own_front", "executor"),
             )
             self.ports = {kind: first + n for n, kind in enumerate(kinds)}
-            self.ports["peer"] = first + len(kinds) + executors
+            self.ports["peer"] = first + len(kinds) + 2 * executors
             self.hosts = {
                 name: f"{self._prefix}.{n}" for n, name in enumerate(names, 1)
             }
             if all(
                 _is_free(address, port)
                 for address in (*self.hosts.values(), f"{self._prefix}.200")
-                for port in range(first, first + len(kinds) + executors + 1)
+                for port in range(
+                    first, first + len(kinds) + 2 * executors + 1
+                )
             ):
                 return
         raise CannotRunError("no free ports")
@@ -337,16 +360,24 @@
         for relay in self.relays.values():
             await relay.open()
 
-    def reset(self, names: typing.Iterable[str]) -> None:
+    def reset(self, numbers: typing.Mapping[str, int]) -> float:
         """Reset connections of the relayed host.
 
-        :param names: ``front`` for those of callers, or hosts
+        :param numbers: how many, by ``front`` for those of callers, or host
+        :returns: their share of its open connections
         """
-        for name in names:
-            count = self.relays[name].reset()
+        total = sum(relay.count for relay in self.relays.values())
+        done = 0
+        for name, number in numbers.items():
+            count = self.relays[name].reset(number)
+            done += count
             self.record.add(
                 f"{count} connections of {self.relayed} are reset: {name}"
             )
+            if count < number:
+                raise CannotRunError(f"too few connections: {name}")
+        self.record.add(f"{done} of its {total} open connections")
+        return done / total
 
     def zone(self, name: str) -> str:
         """Return the zone of a host."""
@@ -415,23 +446,54 @@
         self.signal(name, signal.SIGKILL)
         await self._processes[name].wait()
 
-    def log(self, name: str) -> list[dict[str, typing.Any]]:
-        """Return the log records of a host."""
-        rows = []
-        for line in (self._folder / f"{name}.log").read_text().splitlines():
-            with contextlib.suppress(ValueError):
-                rows.append(json.loads(line))
-        return rows
-
-    def leader(self) -> str:
-        """Return the control host that became the holder last."""
-        found = [(0, "")]
+    async def leader(self) -> str:
+        """Return the control host whose metrics say that it is the holder.
+
+        :raises CannotRunError: if there is none
+        """
+        found = []
         for name in self.controls:
-            for row in self.log(name):
-                if "holding: begun" in row.get("message", ""):
-                    found.append((row["term"], name))
+            _, text = await request(
+                self.at(name, "metrics"), "GET", "/metrics"
+            )
+            rows = (line.rpartition(" ") for line in text.splitlines())
+            values = {key.rpartition("_")[2]: value for key, _, value in rows}
+            if float(values.get("holder", 0)):
+                found.append((float(values.get("term", 0)), name))
+        if not found:
+            raise CannotRunError("no control host is the holder")
         return max(found)[1]
 
+    async def ready(self, name: str) -> float:
+        """Wait until an entry host is ready for the platform.
+
+        :returns: when it was, seconds
+        """
+        end = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < end:
+            status, _ = await request(
+                self.at(name, "ready"), "GET", "/v1/readiness"
+            )
+            if status == 200:
+                return time.monotonic()
+            await asyncio.sleep(0.01)
+        raise CannotRunError(f"{name} isn't ready")
+
+    async def started(self, tasks: int) -> None:
+        """Wait until as many tasks run.
+
+        :raises CannotRunError: if they don't
+        """
+        end = time.monotonic() + 3.0
+        while time.monotonic() < end:
+            if (
+                sum(len(each.model.running) for each in self.executors)
+                >= tasks
+            ):
+                return
+            await asyncio.sleep(0.01)
+        raise CannotRunError("the tasks don't start")
+
     def spawn(self, work: typing.Coroutine) -> asyncio.Task[typing.Any]:
         """Run something beside the rest."""
         task = asyncio.create_task(work)
@@ -465,7 +527,7 @@
             raise CannotRunError("the entry hosts aren't ready")
         # Two heartbeats, so that each executor is known to each control host.
         await asyncio.sleep(2 * HEARTBEAT_MS / 1000 + 0.5)
-        self.record.add(f"ready, the holder is {self.leader()}")
+        self.record.add(f"ready, the holder is {await self.leader()}")
 
     async def put(
         self, config: dict, name: str | None = None
@@ -551,6 +613,7 @@
         """End all processes that were started here."""
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for relay in self.relays.values():
             relay.close()
         for process in self._processes.values():
@@ -604,9 +667,7 @@
         writer.close()
 
 
-def config(
-    version: int = 1, *, guards: bool = True, **fields: typing.Any
-) -> dict:
+def config(version: int = 1, **fields: typing.Any) -> dict:
     """Return a configuration with one queue."""
     route = {
         "name": "r-1",
@@ -626,7 +687,7 @@
         "maxConnections": 64,
         "protocol": "h1",
         "tls": False,
-        "enforcesCapacity": guards,
+        "enforcesCapacity": True,
         "standby": False,
     }
     return {
@@ -665,22 +726,32 @@
 
 
 def play(folder: pathlib.Path, case: Case, **fields: typing.Any) -> int:
-    """Play a case and return the exit code of its script."""
+    """Play a case and return its result for ``run.sh``.
+
+    Whatever goes wrong with the case itself isn't a broken rule.
+    """
+    record = Record(folder / "record.txt")
 
     async def run() -> int:
-        world = World(folder, **fields)
+        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        world = World(record, **fields)
         try:
             broken = await case(world)
             world.write_runs()
-        except (CannotRunError, OSError) as exc:
-            world.record.add(f"cannot run: {exc!r}")
-            return CANNOT_RUN
         finally:
             await world.close()
         for text in broken:
-            world.record.add(text)
+            record.add(text)
             print(text)
-        world.record.add("broken" if broken else "held")
+        record.add("broken" if broken else "held")
         return BROKEN if broken else HELD
 
-    return asyncio.run(run())
+    try:
+        return asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as exc:
+        record.add(f"cannot run: {exc!r}")
+        print(f"cannot run: {exc!r}", file=sys.stderr)
+        return CANNOT_RUN
