--- a/review/lib_2/world.py
+++ b/review/lib_2/world.py
@@ -274,6 +274,7 @@
         self.unexpected_ends: list[str] = []
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
         self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self._starting: list[asyncio.Future[asyncio.subprocess.Process]] = []
         self._tasks: set[asyncio.Task[typing.Any]] = set()
         self._choose_addresses(executors)
         table = tomllib.loads((ROOT / "deploy/system.toml").read_text())
@@ -424,15 +425,20 @@
         }
         _, *args = self._commands[name.partition("-")[0]]
         with open(self._folder / f"{name}.log", "ab") as log:
-            self._processes[name] = await asyncio.create_subprocess_exec(
-                sys.executable,
-                *args,
-                cwd=ROOT,
-                env=env,
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
+            starting = asyncio.ensure_future(
+                asyncio.create_subprocess_exec(
+                    sys.executable,
+                    *args,
+                    cwd=ROOT,
+                    env=env,
+                    stdin=asyncio.subprocess.DEVNULL,
+                    stdout=log,
+                    stderr=log,
+                )
             )
+            # Also one that is started as the case is ended has to be ended.
+            self._starting.append(starting)
+            self._processes[name] = await asyncio.shield(starting)
         self.record.add(f"{name} started")
 
     def signal(self, name: str, number: signal.Signals) -> None:
@@ -616,10 +622,10 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for relay in self.relays.values():
             relay.close()
-        for process in self._processes.values():
+        for starting in self._starting:
+            process = await starting
             with contextlib.suppress(ProcessLookupError):
                 process.kill()
-        for process in self._processes.values():
             await process.wait()
         if keep := os.environ.get("KEEP"):
             shutil.copytree(self._folder, keep, dirs_exist_ok=True)
