Fence off orders to former incarnations of an executor

A start that was on its way when its executor crashed was carried out by the next incarnation under the same id, beside the task's run on another executor.

The new incarnation was polled from then on, but under the token of the old order. Nothing in that order is refused by an executor that has forgotten its past: the id is the same, the token isn't lower, the deadline is a time on a clock that has begun anew.

Change: each incarnation of an executor has a higher fencing token than the orders to its former ones. A leader takes the token from the side bits that no host can have, 255 restarts of one executor before it uses its next bump; a standby from its bumps. Nothing starts on an incarnation before it has answered under its token, so that whatever arrives later is refused. An order with a former token that is refused doesn't raise the token of all executors.

Random schedules deliver renewals late now, too.

Not yet covered: a start that arrives before the first order to the new incarnation.

--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -140,6 +140,8 @@
         self._heap.call_later(TICK_S, self._tick)
         self.engine.tick(self._now())
         self.execute_actions()
+        if self.engine.needs_token:
+            self._raise_leader_token()
 
     def _execute(self, action: work.Action) -> None:
         if isinstance(action, work.Answer | work.LossReport):
@@ -167,7 +169,7 @@
             if self._is_closed:
                 return
             if verdict is work.StartVerdict.FENCED:
-                self._raise_token(order.token)
+                self._raise_token(order)
             self.engine.started(order, verdict, clock_ms, self._now())
             self.execute_actions()
 
@@ -192,7 +194,7 @@
             if self._is_closed:
                 return
             if answer.verdict is work.HoldVerdict.FENCED:
-                self._raise_token(order.token)
+                self._raise_token(order)
             self.engine.held(order, answer, sent_at, self._now())
             self.execute_actions()
 
@@ -213,20 +215,24 @@
         if self._may_send_orders():
             self._port.stop(order, done)
 
-    def _raise_token(self, fenced_token: int) -> None:
+    def _raise_token(self, order: work.StartOrder | work.HoldOrder) -> None:
         """Replace a token that an executor fenced off with a higher one.
 
-        The executor has seen the token of a standby holder. Only the
-        leader does this, and only while its leader lease is valid: two
-        standbys that don't know each other would take turns.
+        The executor has seen the token of a standby holder. An order with a
+        former token of this holder is to be fenced off. Only the leader
+        raises it: two standbys that don't know each other would take turns.
         """
-        if self._fence.side != tokens.LEADER_SIDE:
-            if fenced_token == self.engine.token:
-                self.engine.check_fences(self._now())
+        if not self.engine.is_token_of(order.token, order.executor):
             return
-        if not self._may_send_orders():
+        if self._fence.side != tokens.LEADER_SIDE:
+            self.engine.check_fences(self._now())
             return
-        if fenced_token != self.engine.token:
+        self._raise_leader_token()
+
+    def _raise_leader_token(self) -> None:
+        """Use the next bump, while the leader lease is valid."""
+        is_leader = self._fence.side == tokens.LEADER_SIDE
+        if not is_leader or not self._may_send_orders():
             return
         if self._bump < tokens.MAX_BUMP:
             self._use_bump(self._bump + 1)
@@ -239,11 +245,11 @@
         A token that isn't higher is this holder's own, repeated by a host
         that follows it.
         """
-        if token <= self.engine.token:
+        if token <= self.engine.highest_token:
             return
         self._fence = self._fence.above(token)
         bump = self._fence.bump_above(token)
-        if self._fence.token(bump) > self.engine.token:
+        if self._fence.token(bump) > self.engine.highest_token:
             self._use_bump(bump)
 
     def _use_bump(self, bump: int) -> None:
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -147,8 +147,9 @@
     @property
     def highest_token(self) -> int:
         """The highest fencing token seen by this host, 0 for none."""
-        current = self._runner.engine.token if self._runner is not None else 0
-        return max(self._highest_token, current)
+        if self._runner is None:
+            return self._highest_token
+        return max(self._highest_token, self._runner.engine.highest_token)
 
     def record_token(self, token: int) -> None:
         """Record a holder's token; this host's next tokens exceed it."""
@@ -212,6 +213,7 @@
             ),
             resend_s=self._resend_s,
             is_given_up=self._is_given_up,
+            token_steps=fence.steps(bump),
         )
         job_engine.speeds.restore(speed_rows, now)
         is_leader = fence.side == tokens.LEADER_SIDE
@@ -276,7 +278,7 @@
         Running tasks end with their leases or pass to the next holder.
         """
         if self._runner is not None:
-            self.record_token(self._runner.engine.token)
+            self.record_token(self._runner.engine.highest_token)
             now = self._heap.clock.now()
             job_engine = self._runner.engine
             _LOG.info(
--- a/chervilwheel/control/tokens.py
+++ b/chervilwheel/control/tokens.py
@@ -3,11 +3,16 @@
 import ipaddress
 import typing
 
+from chervilwheel.workers import leases
+
 BUMP_BITS = 8
 TERM_BITS = 21
 SIDE_BITS = 24
 MAX_BUMP = 2**BUMP_BITS - 1
 LEADER_SIDE = 0
+# The sides from one restart of an executor to the next. No standby has one of
+# these: its address would be that of a network.
+LEADER_STEP_BITS = 16
 
 
 class Fence(typing.NamedTuple):
@@ -29,6 +34,21 @@
         """
         return (bump << (TERM_BITS + SIDE_BITS)) | self._low_bits()
 
+    def steps(self, bump: int) -> leases.TokenSteps:
+        """Return the further tokens that only this holder may use.
+
+        A leader that has used its own raises its bump or begins a new term;
+        a standby has no others than its bumps.
+
+        :param bump: the bump of the token that they count from
+        """
+        if self.side == LEADER_SIDE:
+            return leases.TokenSteps(
+                1 << LEADER_STEP_BITS,
+                2 ** (SIDE_BITS - LEADER_STEP_BITS) - 1,
+            )
+        return leases.TokenSteps(1 << (TERM_BITS + SIDE_BITS), MAX_BUMP - bump)
+
     def bump_above(self, token: int) -> int:
         """Return the lowest bump that makes a token higher than ``token``."""
         bump = token >> (TERM_BITS + SIDE_BITS)
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -71,6 +71,7 @@
     """Leases executors and runs jobs on them.
 
     :param token: the fencing token of this holder
+    :param token_steps: the tokens for later incarnations of an executor
     :param reports_complete_at: time from which on reports have been received
         from all executors that another holder may have used, seconds
     :param now: monotonic time, seconds
@@ -98,6 +99,7 @@
         entries_heard_at: typing.Mapping[ids.InstanceId, float] | None = None,
         resend_s: float = 0.0,
         is_given_up: typing.Callable[[ids.JobId], bool] = lambda _job: False,
+        token_steps: leases.TokenSteps = leases.TokenSteps(),
     ) -> None:
         self.executors: dict[work.ExecutorId, executors.Executor] = {}
         self.shares_reports = False
@@ -113,7 +115,10 @@
         self._job_table = jobtable.JobTable(actions=self._actions)
         self._free_index = freeindex.FreeIndex()
         self._leases = leases.LeaseManager(
-            token=token, limits=lease_limits, actions=self._actions
+            token=token,
+            limits=lease_limits,
+            actions=self._actions,
+            token_steps=token_steps,
         )
         self._losses = losses.LossTracker(
             job_table=self._job_table, actions=self._actions
@@ -215,6 +220,23 @@
         """The current fencing token."""
         return self._leases.token
 
+    @property
+    def highest_token(self) -> int:
+        """The highest fencing token that an executor may have seen."""
+        return self._leases.highest_token
+
+    @property
+    def needs_token(self) -> bool:
+        """Whether an executor has started again too often for the token."""
+        return self._leases.are_steps_used
+
+    def is_token_of(self, token: int, name: work.ExecutorId) -> bool:
+        """Return whether orders to an executor have a fencing token now."""
+        executor = self.executors.get(name)
+        return executor is not None and token == self._leases.token_of(
+            executor
+        )
+
     @property
     def is_fenced_off(self) -> bool:
         """Whether executors obey another holder, and none obeys this one."""
@@ -278,6 +300,7 @@
             self.executors[report.id] = executor
             self._free_index.update(executor)
             self._refuser.executors_changed()
+            self._leases.add_executor(executor)
             self._reconciler.add_executor(executor)
             self._add_speed(executor, now)
         elif not executor.accepts(report):
@@ -777,6 +800,7 @@
         self.executors[former.id] = executor
         self._free_index.update(executor)
         self._refuser.executors_changed()
+        self._leases.add_executor(executor)
         self._reconciler.add_executor(executor)
         self._add_speed(executor, now)
         _LOG.info(
@@ -784,6 +808,7 @@
             extra={
                 "executor": former.id,
                 "born_ms": born_ms,
+                "token": self._leases.token_of(executor),
                 "runs": len(former.runs),
             },
         )
@@ -871,6 +896,7 @@
         self._free_index.remove(executor)
         self.executors.pop(executor.id, None)
         self._refuser.executors_changed()
+        self._leases.remove_executor(executor)
         self._reconciler.remove_executor(executor)
         self.speeds.remove_executor(executor.id)
         _LOG.info(
--- a/chervilwheel/workers/executors.py
+++ b/chervilwheel/workers/executors.py
@@ -131,6 +131,7 @@
     :ivar is_report_due: whether an answer has shown this incarnation and the
         report is that of a former one
     :ivar is_unused: whether no leader uses it before its next report
+    :ivar token_offset: difference of its fencing token to the holder's
     :ivar is_unshared: whether the next leader may not have the report by which
         it is used, so that nothing starts here
     """
@@ -177,6 +178,7 @@
     on_free_changed: typing.Callable[["Executor"], None] = lambda _: None
     born_ms: int = 0
     is_report_due: bool = False
+    token_offset: int = 0
     is_unused: bool = False
     is_unshared: bool = False
 
--- a/chervilwheel/workers/leases.py
+++ b/chervilwheel/workers/leases.py
@@ -80,25 +80,77 @@
         return min(LONG_POLL_S, LONG_POLL_LEASE_SHARE * self.lease_s)
 
 
+class TokenSteps(typing.NamedTuple):
+    """Fencing tokens above a holder's own that no other holder uses.
+
+    :ivar step: difference from one to the next
+    :ivar count: number of them
+    """
+
+    step: int = 1
+    count: int = 255
+
+
 class LeaseManager:
     """Issues orders to renew leases and to stop runs.
 
+    An executor that starts again under its id has forgotten the tokens that
+    it has seen, while orders to its former incarnations may still arrive. Each
+    incarnation has a higher token than those, so that it rejects them from its
+    first order on.
+
     :param token: the fencing token of this holder
+    :param token_steps: the tokens for later incarnations of an executor
     :param limits: lease limits of the executors
     :param actions: list that the orders are appended to
+    :ivar are_steps_used: whether an executor needs a higher token than the
+        steps allow
     :ivar round_trips: estimates the time that executors take to answer
     """
 
     def __init__(
-        self, *, token: int, limits: LeaseLimits, actions: list[work.Action]
+        self,
+        *,
+        token: int,
+        limits: LeaseLimits,
+        actions: list[work.Action],
+        token_steps: TokenSteps = TokenSteps(),
     ) -> None:
         self.token = token
+        self.are_steps_used = False
+        self._token_steps = token_steps
+        # Restarts of each executor that was used under this token.
+        self._restarts: dict[work.ExecutorId, int] = {}
         self.limits = limits
         self._actions = actions
         self.round_trips = roundtrip.RoundTripEstimator()
         self._unanswered_at = -UNANSWERED_MEMORY_S
         self._idle_renewed_at = 0.0
 
+    @property
+    def highest_token(self) -> int:
+        """The highest fencing token of any executor."""
+        restarts = max(self._restarts.values(), default=0)
+        return self.token + restarts * self._token_steps.step
+
+    def token_of(self, executor: executors.Executor) -> int:
+        """Return the fencing token of the orders to an incarnation."""
+        return self.token + executor.token_offset
+
+    def add_executor(self, executor: executors.Executor) -> None:
+        """Choose the token of an incarnation, above that of former ones."""
+        restarts = self._restarts.get(executor.id, -1) + 1
+        if restarts > self._token_steps.count:
+            self.are_steps_used = True
+            restarts = self._token_steps.count
+        self._restarts[executor.id] = restarts
+        executor.token_offset = restarts * self._token_steps.step
+
+    def remove_executor(self, executor: executors.Executor) -> None:
+        """Forget an executor whose id isn't used again."""
+        if not executor.born_ms:
+            self._restarts.pop(executor.id, None)
+
     def renew_if_due(
         self, executor: executors.Executor, now: float, *, poll_after: float
     ) -> None:
@@ -196,7 +248,7 @@
                 executor.id,
                 executor.report.address,
                 deadline_ms,
-                self.token,
+                self.token_of(executor),
                 executor.processed_upto,
                 wait_ms,
                 is_poll=is_poll,
@@ -225,7 +277,7 @@
             self.round_trips.record(now - sent_at)
         if order.born_ms == executor.born_ms:
             executor.acked_upto = max(executor.acked_upto, order.acked_upto)
-        if order.token != self.token:
+        if order.token != self.token_of(executor):
             return
         if not executor.is_synced:
             # Another holder may have extended the lease just before.
@@ -271,7 +323,7 @@
         executor.is_retrying = False
         executor.is_synced = False
         if answer.verdict is work.HoldVerdict.FENCED:
-            if order.token < self.token:
+            if order.token < self.token_of(executor):
                 # The order was sent before the token was raised.
                 executor.unreachable_since = 0.0
                 return
@@ -311,7 +363,7 @@
                 executor.report.address,
                 run.task,
                 run.number,
-                self.token,
+                self.token_of(executor),
                 born_ms=executor.born_ms,
             )
         )
@@ -327,7 +379,10 @@
         :param held_executors: executors that the new token is sent to
         """
         self.token = token
+        self.are_steps_used = False
+        self._restarts = dict.fromkeys(self._restarts, 0)
         for executor in held_executors:
+            executor.token_offset = 0
             executor.is_synced = False
             if executor.is_fenced:
                 executor.is_fenced = False
--- a/chervilwheel/workers/starter.py
+++ b/chervilwheel/workers/starter.py
@@ -387,7 +387,7 @@
                 run.number,
                 state.job.spec,
                 deadline_ms,
-                self._leases.token,
+                self._leases.token_of(executor),
                 born_ms=executor.born_ms,
             )
         )
--- /dev/null
+++ b/tests/test_lateorders.py
@@ -0,0 +1,191 @@
+"""Orders that arrive after their executor has started again under its id."""
+
+import functools
+
+import testtools
+
+from chervilwheel.workers import work
+from tests import workerworld
+
+PATIENCE_MS = 60_000
+# Longer than all that a holder waits for.
+TASK_S = 3.0
+# Time from the start of an incarnation to the late order, seconds. With a
+# first heartbeat after 0.05 or 1 s and a poll within 0.15 s, it comes before,
+# between and after the first heartbeat and the first answer.
+ARRIVALS_S = (0.0004, 0.002, 0.01, 0.04, 0.052, 0.1, 0.2, 0.6, 1.1)
+HEARTBEATS_S = (0.05, 1.0)
+DOWN_S = 0.3
+
+
+class LateNetwork(workerworld.Network):
+    """Holds up one order until it is released.
+
+    :param kind: the class of the order
+    """
+
+    def __init__(self, *, rng, kind=work.StartOrder):
+        super().__init__(rng=rng)
+        self._kind = kind
+        self.held_up = None
+
+    def is_held_up(self, order):
+        """Whether to hold up this order."""
+        return self.held_up is None and isinstance(order, self._kind)
+
+    def sample_delivery(self, worker, holder=None, order=None):
+        """Choose how an order is delivered, and its delay in seconds."""
+        if self.is_held_up(order):
+            self.held_up = order
+            return "lost", 0.0
+        if worker in self.unreachable_from.get(holder, self.cut):
+            return "lost", 0.0
+        return "ok", 0.001
+
+
+class RenewalNetwork(LateNetwork):
+    """Holds up the next order that renews the lease of one executor.
+
+    :param name: the executor
+    """
+
+    def __init__(self, *, rng, name):
+        super().__init__(rng=rng, kind=work.HoldOrder)
+        self._name = name
+
+    def is_held_up(self, order):
+        """Whether to hold up this order."""
+        return (
+            super().is_held_up(order)
+            and order.executor == self._name
+            and order.deadline_ms > 0
+        )
+
+
+class LateOrderTest(testtools.TestCase):
+    """The world checks at each event that no task runs twice."""
+
+    def world(self, **options):
+        world = workerworld.World(
+            reports_born=True, **{"workers": 3, **options}
+        )
+        world.run(4.0)
+        return world
+
+    def submit_late(self, world):
+        """Submit a job whose start is held up; returns it and the order."""
+        world.net = LateNetwork(rng=world.rng)
+        job = world.submit(
+            tasks=1,
+            work_s=TASK_S,
+            patience_ms=PATIENCE_MS,
+            target_ms=PATIENCE_MS,
+        )
+        return job, world.net.held_up
+
+    def arrive(self, world, order):
+        """Deliver an order that was held up to the present incarnation."""
+        model = world.workers[order.executor]
+        self.assertNotEqual(order.born_ms, model.born_ms)
+        starts = model.starts
+        if isinstance(order, work.StartOrder):
+            world._deliver_start(order)
+        else:
+            model.renew_lease(
+                deadline_ms=order.deadline_ms,
+                token=order.token,
+                acked_upto=order.acked_upto,
+                now=world.now,
+            )
+        world.check()
+        return model.starts > starts
+
+    def restart(self, world, order, *, arrival_s, heartbeat_s, down_s=DOWN_S):
+        """Start an executor again, and deliver the order after that."""
+        world.restart_under_id(
+            order.executor, down_s=down_s, report_s=heartbeat_s
+        )
+        world.at(down_s + arrival_s, lambda: self.arrive(world, order))
+
+    def schedules(self):
+        for arrival_s in ARRIVALS_S:
+            for heartbeat_s in HEARTBEATS_S:
+                yield {"arrival_s": arrival_s, "heartbeat_s": heartbeat_s}
+
+    def check_once(self, play):
+        """Play all schedules; list those in which a task runs twice."""
+        broken = []
+        for schedule in self.schedules():
+            try:
+                world, job = play(**schedule)
+                world.run(15.0)
+            except workerworld.InvariantError as exc:
+                broken.append((schedule, str(exc)))
+                continue
+            self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
+        self.assertEqual([], broken)
+
+    def test_a_renewal_does_not_make_runs_outlast_their_lease(self):
+        # After the restart the executor is cut off while it runs a task.
+        def play(arrival_s, heartbeat_s):
+            world = self.world(workers=2)
+            first = world.submit(
+                tasks=2, cpu=20_000, work_s=1.0, patience_ms=PATIENCE_MS
+            )
+            world.run(0.1)
+            (name, *_) = world.workers
+            world.net = RenewalNetwork(rng=world.rng, name=name)
+            world.run(0.5)
+            order = world.net.held_up
+            world.restart_under_id(name, down_s=0.05, report_s=heartbeat_s)
+            world.run(1.5)
+            self.assertIn(first, world.answers)
+            job = world.submit(
+                tasks=2,
+                cpu=20_000,
+                work_s=TASK_S,
+                patience_ms=PATIENCE_MS,
+                target_ms=PATIENCE_MS,
+            )
+            world.run(0.2)
+            self.assertEqual(1, len(world.workers[name].running))
+            world.net.cut.add(name)
+            # While the lease lasts.
+            world.at(min(arrival_s, 0.5), lambda: self.arrive(world, order))
+            world.run(0.5)
+            for other in list(world.workers):
+                if other != name:
+                    world.add_worker()
+            world.run(4.0)
+            world.net.cut.clear()
+            return world, job
+
+        self.check_once(play)
+
+    def test_a_renewal_does_not_make_an_end_be_forgotten(self):
+        # It acknowledges ends by the numbers of the former incarnation.
+        started_again = []
+        for offset_ms in range(24):
+            world = self.world(workers=1)
+            for _ in range(10):
+                world.submit(tasks=1, work_s=0.06, patience_ms=PATIENCE_MS)
+                world.run(0.1)
+            (name,) = world.workers
+            world.net = RenewalNetwork(rng=world.rng, name=name)
+            world.submit(tasks=1, work_s=0.06, patience_ms=PATIENCE_MS)
+            world.run(0.5)
+            order = world.net.held_up
+            self.assertGreater(order.acked_upto, 5)
+            world.restart_under_id(name, down_s=0.05, report_s=0.05)
+            world.run(0.5)
+            job = world.submit(tasks=1, work_s=0.1, patience_ms=PATIENCE_MS)
+            world.at(
+                0.09 + offset_ms / 1000,
+                functools.partial(self.arrive, world, order),
+            )
+            world.run(3.0)
+            self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
+            (task,) = [t for t in world.starts_of if t.job == job]
+            if world.starts_of[task] > 1:
+                started_again.append(offset_ms)
+        self.assertEqual([], started_again)
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -30,8 +30,9 @@
 ENTRY_TIMEOUT_S = 0.75
 FIRST_BORN_MS = 1_790_000_000_000
 # Gap between the fencing tokens of successive holders, which leaves tokens
-# for holders without a quorum.
-TOKEN_STEP = 10
+# for holders without a quorum, and for the incarnations of executors.
+TOKEN_STEP = 10_000
+STANDBY_TOKEN_STEP = 1_000
 # Outside the rack of its data, a task takes this much longer.
 FAR_FACTOR = 2.0
 CALL_TIMEOUT_S = 0.3
@@ -83,8 +84,8 @@
 
     ``response_loss_rate`` is the share of orders that are delivered but
     whose responses are lost. ``late_delivery_rate`` is the share that get no
-    response either: starts and stops are delivered 2 to 12 s late, lease
-    renewals never. Workers in ``cut`` are unreachable.
+    response either and are delivered 2 to 12 s late. Workers in ``cut`` are
+    unreachable.
     """
 
     def __init__(self, *, rng):
@@ -402,7 +403,7 @@
         if not self.net.cut:
             return
         self.standby = self._engine_kind(
-            token=self._token + 1,
+            token=self._token + STANDBY_TOKEN_STEP,
             now=self.now,
             reports_complete_at=self.now,
             lease_limits=leases.LeaseLimits(self.max_lease_s, STOP_S),
@@ -427,7 +428,7 @@
         self.engine_of_entry[FAR_ENTRY] = self.engine
         if previous_standby is not None:
             self.net.unreachable_from.clear()
-            self._token += 2
+            self._token += 2 * STANDBY_TOKEN_STEP
             self.engine.raise_token(self._token, self.now)
         self._reoffer_far_jobs(self.engine, is_from_standby=True)
 
@@ -845,7 +846,7 @@
             delay_s = min(until, model.next_end_at()) - self.now
             self.at(max(0.001, min(0.01, delay_s)), lambda: wait(model, until))
 
-        if delivery in ("ok", "unanswered"):
+        if delivery != "lost":
             self.at(delay, deliver)
         timed_out = work.HoldAnswer(work.HoldVerdict.UNKNOWN)
         timeout_s = CALL_TIMEOUT_S + order.wait_ms / 1000
