Hold a task back while a start of it may arrive at a new incarnation

Cause: a start without an answer was released by what its executor's present incarnation proves (a stop, a passed deadline, an ended lease). The task started elsewhere while that executor was away, and nothing can reject the order at its next incarnation before that has been reached.

Change: starts that had no answer are kept until they are older than any late order (15 s) or their job has its final answer. Their task starts nowhere while the executor isn't reached or hasn't obeyed an order under the token of its present incarnation. If the new incarnation has begun the run, that one is adopted; its end counts. Executors that don't tell their start have a new id each time and hold nothing back, nor do confirmed runs.

A run number never goes down when an earlier run is given up or adopted.

Each order costs one look-up when its task is placed. After a crash a task waits for the executor only if its start had no answer.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -17,6 +17,7 @@
 from chervilwheel.workers import freeindex
 from chervilwheel.workers import jobstate
 from chervilwheel.workers import jobtable
+from chervilwheel.workers import latestarts
 from chervilwheel.workers import leases
 from chervilwheel.workers import losses
 from chervilwheel.workers import reconciler
@@ -53,7 +54,8 @@
     work.StartVerdict.NOT_SENT,
 )
 
-# Reason of answers to jobs with a task under which executors were lost.
+# Reason of answers to jobs with a task under which executors were lost, or
+# that one of them may still begin.
 LOSSES = "executors_lost"
 # The same, if the task is given up since the executors have crashed.
 CRASHES = "executors_crashed"
@@ -124,6 +126,9 @@
             job_table=self._job_table, actions=self._actions
         )
         self._risk = risk.QueueRisk()
+        self._late_starts = latestarts.LateStarts(
+            executors_by_id=self.executors, job_table=self._job_table
+        )
         self.speeds = speeds.SpeedTable()
         self._starter = starter.Starter(
             executors_by_id=self.executors,
@@ -133,6 +138,7 @@
             loss_tracker=self._losses,
             queue_risk=self._risk,
             speed_table=self.speeds,
+            late_starts=self._late_starts,
             actions=self._actions,
         )
         self._reconciler = reconciler.RunReconciler(
@@ -140,6 +146,7 @@
             job_table=self._job_table,
             lease_manager=self._leases,
             speed_table=self.speeds,
+            late_starts=self._late_starts,
             finish=self._finish,
         )
         self._refuser = refusal.Refuser(
@@ -920,6 +927,7 @@
                 self._losses.lost(executor, run, now)
             self._job_table.requeue(run)
         if why is Departure.REPLACED:
+            self._late_starts.remove_executor(executor)
             self._give_up_crashing(self._losses.replaced(executor), now)
         self._starter.place(now)
 
@@ -967,6 +975,9 @@
         self._refuser.refuse_overdue(now)
         for state in self._losses.overdue(now):
             self._finish(state, work.Outcome.LOST, now, reason=LOSSES)
+        for state in self._late_starts.overdue(now):
+            self._finish(state, work.Outcome.LOST, now, reason=LOSSES)
+        self._late_starts.purge(now)
         self._job_table.purge(now)
         self._losses.purge()
 
@@ -1016,6 +1027,7 @@
                 },
             )
             executor.remove_run(run.task)
+            self._late_starts.add(executor, run)
             self._losses.lost(run.former or executor, run, now)
             self._job_table.requeue(run)
 
--- a/chervilwheel/workers/jobtable.py
+++ b/chervilwheel/workers/jobtable.py
@@ -55,7 +55,7 @@
         if state.is_finished or task is None or task.is_done:
             return
         task.executor = None
-        task.next_run = run.number + 1
+        task.next_run = max(task.next_run, run.number + 1)
         if task not in state.pending:
             state.pending.insert(0, task)
         self.waiting.add(state)
--- a/chervilwheel/workers/reconciler.py
+++ b/chervilwheel/workers/reconciler.py
@@ -8,6 +8,7 @@
 from chervilwheel.workers import health
 from chervilwheel.workers import jobstate
 from chervilwheel.workers import jobtable
+from chervilwheel.workers import latestarts
 from chervilwheel.workers import leases
 from chervilwheel.workers import speeds
 from chervilwheel.workers import takeover
@@ -35,6 +36,7 @@
     :param job_table: all jobs of this holder
     :param lease_manager: issues stop orders
     :param speed_table: learns from completed runs
+    :param late_starts: starts that were given up
     :param finish: called with a job, its outcome, the time and a reason
     """
 
@@ -45,12 +47,14 @@
         job_table: jobtable.JobTable,
         lease_manager: leases.LeaseManager,
         speed_table: speeds.SpeedTable,
+        late_starts: latestarts.LateStarts,
         finish: FinishCallback,
     ) -> None:
         self._executors = executors_by_id
         self._job_table = job_table
         self._leases = lease_manager
         self._speeds = speed_table
+        self._late_starts = late_starts
         self._finish = finish
         self._health: dict[work.ExecutorId, health.Health] = {}
         # Executors with orphans by job, None after a new orphan.
@@ -92,6 +96,7 @@
                 self._update_run(executor, run, row, now)
             elif _is_lost(run, answer.clock_ms, sent_at):
                 executor.remove_run(run.task)
+                self._late_starts.add(executor, run)
                 self._job_table.requeue(run)
                 if run.former is not None:
                     ended_before.append(run)
@@ -103,7 +108,7 @@
     def _add_orphan(
         self, executor: executors.Executor, row: work.RunStatus, now: float
     ) -> None:
-        """Record a run that another holder has ordered."""
+        """Record a run that another holder has ordered, or that began late."""
         run = executors.Run(
             task=row.task,
             number=row.run,
@@ -121,9 +126,21 @@
         state = self._job_table.jobs.get(row.task.job)
         if state is None:
             return
-        if state.is_taking_over or state.is_finished:
+        is_late = self._late_starts.has(row.task, executor.id)
+        if is_late:
+            _LOG.info(
+                "engine: a start was carried out late",
+                extra={
+                    "task": row.task,
+                    "run": row.run,
+                    "executor": executor.id,
+                    "born_ms": executor.born_ms,
+                },
+            )
+            self._late_starts.remove(row.task, executor.id)
+        if state.is_taking_over or state.is_finished or is_late:
             self._adopt_run(state, executor, run)
-        if state.is_finished:
+        if state.is_finished or (is_late and run.is_orphan):
             self._leases.stop(executor, run, now)
 
     def _update_run(
@@ -166,11 +183,11 @@
     ) -> None:
         run = executor.runs.get(end.task)
         if run is None or run.number != end.run:
-            self._process_orphan_end(end, now)
+            self._process_orphan_end(executor, end, now)
             return
         executor.remove_run(end.task)
         if run.is_orphan:
-            self._process_orphan_end(end, now)
+            self._process_orphan_end(executor, end, now)
             return
         state = self._job_table.jobs.get(end.task.job)
         if end.kind is work.EndKind.DONE:
@@ -223,13 +240,21 @@
             now=now,
         )
 
-    def _process_orphan_end(self, end: work.RunEnd, now: float) -> None:
-        """Process the end of a run that another holder ordered."""
+    def _process_orphan_end(
+        self, executor: executors.Executor, end: work.RunEnd, now: float
+    ) -> None:
+        """Process the end of a run that another holder ordered.
+
+        It may also be one that began late.
+        """
+        is_late = self._late_starts.has(end.task, executor.id)
+        if is_late:
+            self._late_starts.remove(end.task, executor.id)
         if end.kind is not work.EndKind.DONE:
             return
         self._job_table.record_orphan_completion(end.task, now)
         state = self._job_table.jobs.get(end.task.job)
-        if state is not None and state.is_taking_over:
+        if state is not None and (state.is_taking_over or is_late):
             self._complete_task(state, end.task, now)
 
     def record_failure(
@@ -294,7 +319,7 @@
         state.open_runs += 1
         state.is_started = True
         task.executor = executor.id
-        task.next_run = run.number + 1
+        task.next_run = max(task.next_run, run.number + 1)
         if task in state.pending:
             state.pending.remove(task)
 
--- a/chervilwheel/workers/starter.py
+++ b/chervilwheel/workers/starter.py
@@ -8,6 +8,7 @@
 from chervilwheel.workers import freeindex
 from chervilwheel.workers import jobstate
 from chervilwheel.workers import jobtable
+from chervilwheel.workers import latestarts
 from chervilwheel.workers import leases
 from chervilwheel.workers import losses
 from chervilwheel.workers import placement
@@ -40,6 +41,7 @@
     :param loss_tracker: reports the starts of tasks that may crash executors
     :param queue_risk: tells which queues have such tasks
     :param speed_table: speeds of the executors and run times of queues
+    :param late_starts: starts that were given up
     :param actions: list that the orders are appended to
     """
 
@@ -53,6 +55,7 @@
         loss_tracker: losses.LossTracker,
         queue_risk: risk.QueueRisk,
         speed_table: speeds.SpeedTable,
+        late_starts: latestarts.LateStarts,
         actions: list[work.Action],
     ) -> None:
         self.starts = 0
@@ -61,6 +64,7 @@
         self._job_table = job_table
         self._leases = lease_manager
         self._losses = loss_tracker
+        self._late_starts = late_starts
         self._risk = queue_risk
         self._needs = speedneeds.SpeedNeeds(
             executors_by_id=executors_by_id, speed_table=speed_table
@@ -158,7 +162,7 @@
             task = state.pending[held_back]
             if state.job.offers and task.id in self._open_tasks(attempt):
                 break
-            sharing = losses.sharing(task, attempt.now)
+            sharing = self._sharing(task, attempt.now)
             step = state.job.steps[task.id.step]
             if sharing is losses.Sharing.SHARED:
                 need = self._need(state, task.id.step, attempt)
@@ -190,6 +194,12 @@
             self._start_alone(state, task, executor, attempt.now)
         self._update_queue(state)
 
+    def _sharing(self, task: jobstate.Task, now: float) -> losses.Sharing:
+        """Return with which other tasks a task may be started now."""
+        if self._late_starts.holds_back(task.id):
+            return losses.Sharing.NOT_YET
+        return losses.sharing(task, now)
+
     def _need(
         self, state: jobstate.JobState, number: int, attempt: "_Attempt"
     ) -> speedneeds.SpeedNeed:
--- a/tests/test_lateorders.py
+++ b/tests/test_lateorders.py
@@ -4,6 +4,8 @@
 
 import testtools
 
+from chervilwheel.workers import engine
+from chervilwheel.workers import latestarts
 from chervilwheel.workers import work
 from tests import workerworld
 
@@ -72,13 +74,13 @@
         world.run(4.0)
         return world
 
-    def submit_late(self, world):
+    def submit_late(self, world, *, work_s=TASK_S, patience_ms=PATIENCE_MS):
         """Submit a job whose start is held up; returns it and the order."""
         world.net = LateNetwork(rng=world.rng)
         job = world.submit(
             tasks=1,
-            work_s=TASK_S,
-            patience_ms=PATIENCE_MS,
+            work_s=work_s,
+            patience_ms=patience_ms,
             target_ms=PATIENCE_MS,
         )
         return job, world.net.held_up
@@ -125,6 +127,87 @@
             self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
         self.assertEqual([], broken)
 
+    def test_a_start_without_an_answer_when_its_executor_crashes(self):
+        def play(**schedule):
+            world = self.world()
+            job, order = self.submit_late(world)
+            world.run(0.01)
+            self.restart(world, order, **schedule)
+            return world, job
+
+        self.check_once(play)
+
+    def test_a_start_without_an_answer_at_a_crash_that_is_seen_late(self):
+        # Its task may start elsewhere once the leases have ended.
+        def play(**schedule):
+            world = self.world()
+            job, order = self.submit_late(world)
+            world.run(0.01)
+            self.restart(world, order, down_s=2.0, **schedule)
+            return world, job
+
+        self.check_once(play)
+
+    def test_a_start_carried_out_late_is_the_only_one_of_its_task(self):
+        # It arrives before the first order to the new incarnation.
+        for work_s in (0.02, TASK_S):
+            world = self.world()
+            job, order = self.submit_late(world, work_s=work_s)
+            world.run(0.01)
+            self.restart(
+                world, order, down_s=2.0, arrival_s=0.0004, heartbeat_s=0.05
+            )
+            world.run(8.0)
+            self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
+            self.assertEqual(1, world.starts_of[order.task])
+
+    def test_the_caller_is_answered_while_the_executor_is_away(self):
+        # The start may still arrive, so that the task isn't begun elsewhere.
+        world = self.world()
+        job, order = self.submit_late(world, work_s=0.2, patience_ms=1_500)
+        world.run(0.01)
+        world.restart_under_id(order.executor, down_s=10.0)
+        world.run(4.0)
+        at, answer = world.answers[job]
+        self.assertIs(work.Outcome.LOST, answer.outcome)
+        self.assertEqual(engine.LOSSES, answer.reason)
+        self.assertAlmostEqual(1.3, at - world.submitted_at[job], delta=0.05)
+        self.assertEqual(0, sum(world.starts_of.values()))
+
+    def test_a_start_older_than_any_late_order_holds_nothing_back(self):
+        world = self.world()
+        job, order = self.submit_late(world, work_s=0.2)
+        world.run(0.01)
+        world.restart_under_id(order.executor, down_s=60.0)
+        world.run(latestarts.MAX_ORDER_DELAY_S - 0.1)
+        self.assertIsNone(world.outcome(job))
+        world.run(2.0)
+        self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
+
+    def test_without_a_start_time_an_executor_has_a_new_id(self):
+        # Its former incarnation's orders name another one.
+        world = workerworld.World(workers=3)
+        world.run(4.0)
+        job, order = self.submit_late(world, work_s=0.2, patience_ms=1_500)
+        world.run(0.01)
+        world.crash(order.executor, restart_s=10.0)
+        world.run(1.4)
+        self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
+
+    def test_a_start_that_was_given_up_while_its_task_runs_there(self):
+        # The next run is lost in the crash.
+        def play(**schedule):
+            world = self.world()
+            busy = world.submit(tasks=5, work_s=0.5, patience_ms=PATIENCE_MS)
+            world.run(0.02)
+            job, order = self.submit_late(world)
+            world.run(0.6)
+            self.assertIn(busy, world.answers)
+            self.restart(world, order, **schedule)
+            return world, job
+
+        self.check_once(play)
+
     def test_a_renewal_does_not_make_runs_outlast_their_lease(self):
         # After the restart the executor is cut off while it runs a task.
         def play(arrival_s, heartbeat_s):
