Tests: play two more worlds of the search for a mutant

test_a_cancelled_job_that_is_started_again_is_found fails since: it plays worlds with random schedules until one shows the mutant, 10 worlds of 10 schedules, and the polls and tokens of restarted executors draw other numbers. So the schedules still find it, but not the first 10 worlds.

Change: 12 worlds, also for the test that asks for no problem at all, which is stricter.

--- a/tests/test_failedanswers.py
+++ b/tests/test_failedanswers.py
@@ -31,7 +31,7 @@
 from tests import workerworld
 
 clientapi = adapter.load("clientapi")
-WORLDS = 10
+WORLDS = 12
 SCHEDULES_PER_WORLD = 10
 EXECUTORS = 6
 STEPS = 16
