Stop a run while a lost executor may begin its task

What callers saw: a task on two executors at once. Its first start had no answer and was given up, so that it ran elsewhere. The first executor crashed and was back, and the start arrived before the first order to the new incarnation.

Cause: what the executor had answered (a stop, a passed deadline) holds for its present incarnation only.

Change: while a job is open, an executor that may have a late start of it is asked every 0.25 s though it runs nothing. Once it is lost, the run elsewhere is stopped; the task starts again when the executor is back and has obeyed an order under its new token, or after 15 s. The way without it, to start a task again only after 15 s, would cost each start without an answer its job.

--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -863,6 +863,35 @@
         if not executor.report.is_draining and not executor.is_fenced:
             queues = losses.queues_of_early_runs(executor, self.jobs, now)
             self._risk.record_loss(queues, now)
+        self._stop_beside_late_starts(executor, now)
+
+    def _stop_beside_late_starts(
+        self, lost: executors.Executor, now: float
+    ) -> None:
+        """Stop runs of tasks that a lost executor may begin when it is back.
+
+        They start again once it rejects the order that it had before.
+        """
+        for task in self._late_starts.tasks_of(lost):
+            state = self._job_table.jobs.get(task.job)
+            found = state.find_task(task) if state is not None else None
+            name = found.executor if found is not None else None
+            executor = self.executors.get(name or "")
+            run = executor.runs.get(task) if executor is not None else None
+            if executor is None or run is None or name == lost.id:
+                continue
+            if run.state is executors.RunState.STOPPING:
+                continue
+            _LOG.info(
+                "engine: a run is stopped, since a lost executor may begin it",
+                extra={
+                    "task": task,
+                    "run": run.number,
+                    "executor": executor.id,
+                    "lost": lost.id,
+                },
+            )
+            self._leases.stop(executor, run, now)
 
     def _give_up_crashing(
         self, states: typing.Iterable[jobstate.JobState], now: float
@@ -1002,7 +1031,10 @@
         if are_runs_known and leases.is_given_up(executor, now):
             executor.is_unused = True
         self._leases.renew_if_due(
-            executor, now, poll_after=self._takeovers.poll_after
+            executor,
+            now,
+            poll_after=self._takeovers.poll_after,
+            is_watched=self._late_starts.is_watched(executor),
         )
 
     def _drop_expired_runs(
--- a/chervilwheel/workers/leases.py
+++ b/chervilwheel/workers/leases.py
@@ -37,6 +37,8 @@
 # An executor without runs is asked for its clock this often. Its clock is then
 # known to 0.1 s, well below the time for which a start order is valid.
 IDLE_RENEWAL_S = 5.0
+# An executor without runs is asked this often while its crash must be noticed.
+WATCH_INTERVAL_S = 0.25
 # An executor counts as silent after three missed heartbeats.
 REPORT_TIMEOUT_S = 5.0
 
@@ -152,27 +154,35 @@
             self._restarts.pop(executor.id, None)
 
     def renew_if_due(
-        self, executor: executors.Executor, now: float, *, poll_after: float
+        self,
+        executor: executors.Executor,
+        now: float,
+        *,
+        poll_after: float,
+        is_watched: bool = False,
     ) -> None:
         """Renew a lease when it is due.
 
         :param poll_after: poll the lists unless they were requested after
             this time
+        :param is_watched: whether a crash must be noticed soon
         """
         needs_poll = executor.renewal_sent_at <= poll_after
         if executor.is_renewing:
             if needs_poll and not executor.unreachable_since:
                 self.poll(executor, now)
             return
-        if needs_poll or self._is_due(executor, now):
+        if needs_poll or self._is_due(executor, now, is_watched=is_watched):
             self.renew(executor, now)
 
-    def _is_due(self, executor: executors.Executor, now: float) -> bool:
+    def _is_due(
+        self, executor: executors.Executor, now: float, *, is_watched: bool
+    ) -> bool:
         waited_s = now - executor.renewal_sent_at
         if executor.unreachable_since or not executor.is_synced:
             is_live = bool(executor.runs) or not _is_silent(executor, now)
             return is_live and waited_s >= RENEWAL_RETRY_S
-        if executor.runs:
+        if executor.runs or (is_watched and waited_s >= WATCH_INTERVAL_S):
             return True
         has_unsent_ack = executor.processed_upto > executor.acked_upto
         if has_unsent_ack and waited_s >= ACK_DELAY_S:
--- a/tests/test_lateorders.py
+++ b/tests/test_lateorders.py
@@ -194,6 +194,18 @@
         world.run(1.4)
         self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
 
+    def test_a_start_that_was_given_up_while_its_task_runs_elsewhere(self):
+        def play(**schedule):
+            world = self.world()
+            job, order = self.submit_late(world)
+            world.drain(order.executor)
+            world.run(0.6)
+            self.assertEqual(1, sum(world.starts_of.values()))
+            self.restart(world, order, **schedule)
+            return world, job
+
+        self.check_once(play)
+
     def test_a_start_that_was_given_up_while_its_task_runs_there(self):
         # The next run is lost in the crash.
         def play(**schedule):
@@ -208,6 +220,118 @@
 
         self.check_once(play)
 
+    def test_a_start_that_arrives_after_new_orders(self):
+        def play(**schedule):
+            world = self.world()
+            job, order = self.submit_late(world)
+            world.drain(order.executor)
+            world.run(0.6)
+            self.restart(world, order, **schedule)
+            # All executors get new tasks as soon as they may have some.
+            for _ in range(3):
+                world.submit(tasks=2, work_s=0.3, patience_ms=PATIENCE_MS)
+            return world, job
+
+        self.check_once(play)
+
+    def test_a_start_that_arrives_after_a_second_restart(self):
+        def play(arrival_s, heartbeat_s):
+            world = self.world()
+            job, order = self.submit_late(world)
+            world.drain(order.executor)
+            world.run(0.6)
+            world.restart_under_id(
+                order.executor, down_s=DOWN_S, report_s=0.05
+            )
+            world.run(0.8)
+            self.restart(
+                world, order, arrival_s=arrival_s, heartbeat_s=heartbeat_s
+            )
+            return world, job
+
+        self.check_once(play)
+
+    def test_a_start_of_a_former_submission_of_its_job(self):
+        # The job is given up and sent again under its id.
+        def play(**schedule):
+            world = self.world()
+            job, order = self.submit_late(world)
+            world.run(0.01)
+            world.cancel(job, work.Outcome.LOST)
+            world.run(0.4)
+            self.restart(world, order, **schedule)
+            world.run(0.1)
+            del world.answers[job]
+            world.repeat_offer(job, submission=2)
+            return world, job
+
+        self.check_once(play)
+
+    def test_a_start_given_up_that_arrives_after_a_restart_in_no_time(self):
+        # The crash is noticed only after the start has arrived.
+        def play(**schedule):
+            world = self.world()
+            job, order = self.submit_late(world)
+            world.drain(order.executor)
+            world.run(0.6)
+            self.restart(world, order, down_s=0.05, **schedule)
+            return world, job
+
+        self.check_once(play)
+
+    def test_a_start_of_a_former_leader(self):
+        # The next one doesn't know of the order.
+        def play(**schedule):
+            world = self.world()
+            job, order = self.submit_late(world)
+            world.run(0.01)
+            self.restart(world, order, down_s=2.0, **schedule)
+            world.run(0.05)
+            world.switch_holder(knows_all=True)
+            return world, job
+
+        self.check_once(play)
+
+    def test_a_start_of_a_former_leader_that_was_given_up(self):
+        def play(**schedule):
+            world = self.world()
+            job, order = self.submit_late(world)
+            world.drain(order.executor)
+            world.run(0.6)
+            world.switch_holder(knows_all=True)
+            world.run(0.6)
+            self.restart(world, order, **schedule)
+            return world, job
+
+        self.check_once(play)
+
+    def test_a_start_of_a_standby(self):
+        # The executor crashes during the cut and is back after it.
+        def play(**schedule):
+            world = self.world(workers=4)
+            names = list(world.workers)
+            world.cut_off(names[:2], wait_s=0.5)
+            world.run(3.0)
+            world.net = LateNetwork(rng=world.rng)
+            world.net.cut = set(names[:2])
+            world.net.unreachable_from = {world.standby: set(names[2:])}
+            job = world.submit(
+                tasks=1,
+                work_s=TASK_S,
+                patience_ms=PATIENCE_MS,
+                target_ms=PATIENCE_MS,
+                entry=workerworld.FAR_ENTRY,
+            )
+            order = world.net.held_up
+            self.assertIn(order.executor, names[:2])
+            world.run(0.01)
+            self.restart(world, order, down_s=2.0, **schedule)
+            world.run(0.3)
+            world.heal()
+            return world, job
+
+        self.check_once(play)
+
     def test_a_renewal_does_not_make_runs_outlast_their_lease(self):
         # After the restart the executor is cut off while it runs a task.
         def play(arrival_s, heartbeat_s):
