Match late starts by the number of their run

What was seen: `engine: a start was carried out late` for a task whose start had been given up on the same executor, which then ran it under the next number.

Cause: answers overtake each other, and the list that came late had the next run, which had ended. A late start was known by task and executor only, so that the run was taken for the start that was given up.

Change: the number of the run counts, too. The log line is written where the order is forgotten.

--- a/chervilwheel/workers/latestarts.py
+++ b/chervilwheel/workers/latestarts.py
@@ -17,6 +17,13 @@
 _FINAL_OUTCOMES = (work.Outcome.COMPLETED, work.Outcome.CANCELLED)
 
 
+class LateStart(typing.NamedTuple):
+    """A start order, by the executor that it was sent to."""
+
+    executor: work.ExecutorId
+    run: int
+
+
 class LateStarts:
     """Starts that had no answer and that their executor rejects by now.
 
@@ -37,15 +44,12 @@
     ) -> None:
         self._executors = executors_by_id
         self._job_table = job_table
-        # When each was ordered, by task and executor, seconds.
-        self._ordered_at: dict[work.TaskId, dict[work.ExecutorId, float]] = {}
+        # When each was ordered, by task, seconds.
+        self._ordered_at: dict[work.TaskId, dict[LateStart, float]] = {}
         self._tasks: dict[work.ExecutorId, dict[work.TaskId, None]] = {}
         self._held_back: dict[work.TaskId, None] = {}
         self._purged_at = 0.0
 
-    def __len__(self) -> int:
-        return len(self._ordered_at)
-
     def add(self, executor: executors.Executor, run: executors.Run) -> None:
         """Record the order of a run that is given up.
 
@@ -54,12 +58,30 @@
         if run.confirmed_at or run.is_orphan or not executor.born_ms:
             return
         orders = self._ordered_at.setdefault(run.task, {})
-        orders[executor.id] = run.ordered_at
+        orders[LateStart(executor.id, run.number)] = run.ordered_at
         self._tasks.setdefault(executor.id, {})[run.task] = None
 
-    def has(self, task: work.TaskId, name: work.ExecutorId) -> bool:
-        """Return whether an executor may begin a task that was given up."""
-        return name in self._ordered_at.get(task, ())
+    def carried_out(
+        self, task: work.TaskId, run: int, executor: executors.Executor
+    ) -> bool:
+        """Forget an order whose run an executor lists.
+
+        :returns: whether the order had been given up
+        """
+        order = LateStart(executor.id, run)
+        if order not in self._ordered_at.get(task, ()):
+            return False
+        self._remove(task, order)
+        _LOG.info(
+            "engine: a start was carried out late",
+            extra={
+                "task": task,
+                "run": run,
+                "executor": executor.id,
+                "born_ms": executor.born_ms,
+            },
+        )
+        return True
 
     def holds_back(self, task: work.TaskId) -> bool:
         """Return whether a task may begin on an executor that isn't reached.
@@ -67,13 +89,16 @@
         An executor that has left may be started again.
         """
         orders = self._ordered_at.get(task)
-        if orders is None or all(map(self._is_rejecting, orders)):
+        if orders is None:
+            return False
+        names = {order.executor for order in orders}
+        if all(map(self._is_rejecting, names)):
             return False
         if task not in self._held_back:
             self._held_back[task] = None
             _LOG.info(
                 "engine: a task waits for an executor to reject its start",
-                extra={"task": task, "executors": list(orders)},
+                extra={"task": task, "executors": sorted(names)},
             )
         return True
 
@@ -104,19 +129,21 @@
     def remove_executor(self, executor: executors.Executor) -> None:
         """Forget the orders to an executor whose id isn't used any more."""
         for task in self.tasks_of(executor):
-            self.remove(task, executor.id)
-
-    def remove(self, task: work.TaskId, name: work.ExecutorId) -> None:
-        """Forget an order that was carried out or can't arrive any more."""
-        orders = self._ordered_at.get(task, {})
-        orders.pop(name, None)
+            for order in list(self._ordered_at[task]):
+                if order.executor == executor.id:
+                    self._remove(task, order)
+
+    def _remove(self, task: work.TaskId, order: LateStart) -> None:
+        orders = self._ordered_at[task]
+        del orders[order]
+        if not any(each.executor == order.executor for each in orders):
+            tasks = self._tasks[order.executor]
+            del tasks[task]
+            if not tasks:
+                del self._tasks[order.executor]
         if not orders:
-            self._ordered_at.pop(task, None)
+            del self._ordered_at[task]
             self._held_back.pop(task, None)
-        tasks = self._tasks.get(name, {})
-        tasks.pop(task, None)
-        if not tasks:
-            self._tasks.pop(name, None)
 
     def overdue(self, now: float) -> list[jobstate.JobState]:
         """List the jobs whose tasks were held back for too long to be done."""
@@ -139,6 +166,6 @@
             state = self._job_table.jobs.get(task.job)
             answer = state.answer if state is not None else None
             is_final = answer is not None and answer.outcome in _FINAL_OUTCOMES
-            for name, ordered_at in list(orders.items()):
+            for order, ordered_at in list(orders.items()):
                 if is_final or now - ordered_at >= MAX_ORDER_DELAY_S:
-                    self.remove(task, name)
+                    self._remove(task, order)
--- a/chervilwheel/workers/reconciler.py
+++ b/chervilwheel/workers/reconciler.py
@@ -126,18 +126,7 @@
         state = self._job_table.jobs.get(row.task.job)
         if state is None:
             return
-        is_late = self._late_starts.has(row.task, executor.id)
-        if is_late:
-            _LOG.info(
-                "engine: a start was carried out late",
-                extra={
-                    "task": row.task,
-                    "run": row.run,
-                    "executor": executor.id,
-                    "born_ms": executor.born_ms,
-                },
-            )
-            self._late_starts.remove(row.task, executor.id)
+        is_late = self._late_starts.carried_out(row.task, row.run, executor)
         if state.is_taking_over or state.is_finished or is_late:
             self._adopt_run(state, executor, run)
         if state.is_finished or (is_late and run.is_orphan):
@@ -247,9 +236,7 @@
 
         It may also be one that began late.
         """
-        is_late = self._late_starts.has(end.task, executor.id)
-        if is_late:
-            self._late_starts.remove(end.task, executor.id)
+        is_late = self._late_starts.carried_out(end.task, end.run, executor)
         if end.kind is not work.EndKind.DONE:
             return
         self._job_table.record_orphan_completion(end.task, now)
--- a/tests/test_lateorders.py
+++ b/tests/test_lateorders.py
@@ -161,6 +161,32 @@
             self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
             self.assertEqual(1, world.starts_of[order.task])
 
+    def test_a_list_that_was_overtaken_shows_no_late_start(self):
+        # It lists a later run of the task, which has ended since.
+        world = self.world(workers=1)
+        job, order = self.submit_late(world, work_s=0.5)
+        world.run(0.6)
+        executor = world.engine.executors[order.executor]
+        self.assertEqual(order.run + 1, executor.runs[order.task].number)
+        answer = world._hold_answer(world.workers[order.executor])
+        self.assertEqual(1, len(answer.running))
+        sent_at = world.now
+        while job not in world.answers and world.now < sent_at + 2.0:
+            world.run(0.005)
+        self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
+        hold = work.HoldOrder(
+            executor=executor.id,
+            address=executor.report.address,
+            deadline_ms=0,
+            token=order.token,
+            acked_upto=0,
+            wait_ms=0,
+            is_poll=True,
+            born_ms=executor.born_ms,
+        )
+        with self.assertNoLogs("engine"):
+            world.engine.held(hold, answer, sent_at, world.now)
+
     def test_the_caller_is_answered_while_the_executor_is_away(self):
         # The start may still arrive, so that the task isn't begun elsewhere.
         world = self.world()
