--- a/chervilwheel/workers/latestarts.py
+++ b/chervilwheel/workers/latestarts.py
@@ -116,10 +116,14 @@
 
         A task that was given up there may run elsewhere.
         """
+        tasks = self._tasks.get(executor.id)
+        # Asked for each executor at each tick, nearly always without one.
+        if tasks is None:
+            return False
         jobs = self._job_table.jobs
         return any(
             task.job in jobs and not jobs[task.job].is_finished
-            for task in self._tasks.get(executor.id, ())
+            for task in tasks
         )
 
     def tasks_of(self, executor: executors.Executor) -> list[work.TaskId]:
