--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,8 @@
 	$(VENV)/bin/flake8 chervilwheel loadtool soak standins examples tests platform
 
 test: setup lint
-	$(PY) -m pytest -q -rxX -n 6
+	$(PY) -m pytest -q -rxX -n 6 -m "not alone"
+	$(PY) -m pytest -q -rxX -m alone
 
 SEEDS ?= 50
 SOAK_JOBS ?= 2
--- a/tests/test_workerpath.py
+++ b/tests/test_workerpath.py
@@ -57,6 +57,19 @@
         conn.close()
 
 
+def wait_until(test, cluster, condition):
+    """Wait until a condition holds, else fail the test."""
+    end = time.monotonic() + TIMEOUT_S
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return
+        except (OSError, http.client.HTTPException):
+            pass
+        time.sleep(0.05)
+    test.fail("the condition was not met in time\n" + cluster.report())
+
+
 class Cluster:
     """The processes of one test, with their ports and log files."""
 
@@ -91,6 +104,7 @@
             )
             + "]",
             "heartbeat_ms = 300",
+            *self.settings(role),
         ]
         if role == "control":
             data = self.folder / f"data-{host}"
@@ -107,6 +121,10 @@
             {"CHERVILWHEEL_NODE_FILE": str(path)},
         )
 
+    def settings(self, _role):
+        """Return further lines of the settings."""
+        return []
+
     def start_workers(self):
         command = [sys.executable, "-m", "standins.workers"]
         command += ["--port", str(self.ports["workers"])]
@@ -177,17 +195,7 @@
             self.wait_until(lambda h=host: self.serves_jobs(h))
 
     def wait_until(self, condition):
-        end = time.monotonic() + TIMEOUT_S
-        while time.monotonic() < end:
-            try:
-                if condition():
-                    return
-            except (OSError, http.client.HTTPException):
-                pass
-            time.sleep(0.05)
-        self.fail(
-            "the condition was not met in time\n" + self.cluster.report()
-        )
+        wait_until(self, self.cluster, condition)
 
     def is_config_accepted(self):
         address = self.cluster.control(CONTROLS[0])
