Bound what follows a chunked body, and keep trailers out of the headers

What callers saw: a client that sends an empty chunk and then a trailer without an end makes the process keep all of it, at every port: 120 of them with 1 MiB each took an entry host to 155 MB (callers) and 170 MB (metrics, whose bodies are limited to 1 KB) where it may have 112.

Cause: the limit of the head is checked until the body begins, that of the body on each part of it. Trailers and the extensions of a chunk are neither. The parser buffers a trailer until its line ends. Complete trailers were stored like headers and replaced those of the same name, so that a client could change a header after it had been checked.

Change: data behind the head that adds nothing to the body may be as long as a head. Trailers are parsed and dropped.

--- a/chervilwheel/guard.py
+++ b/chervilwheel/guard.py
@@ -110,6 +110,7 @@
 
     def _feed_chunk(self, data: bytes) -> None:
         self._head_bytes += len(data)
+        was_in_body, received = self._in_body, len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -122,6 +123,13 @@
             and self._head_bytes > self._limits.header_bytes
         ):
             self._reject(Status.HEAD_TOO_LARGE, "the head is too large")
+        if was_in_body and self._in_body and len(self._body) == received:
+            # Trailers, or extensions of a chunk: no part of the body.
+            self._trailer_bytes += len(data)
+            if self._trailer_bytes > self._limits.header_bytes:
+                self._reject(Status.HEAD_TOO_LARGE, "the trailers are large")
+        else:
+            self._trailer_bytes = 0
 
     def on_message_begin(self) -> None:
         """Start a request; called by the parser."""
@@ -133,7 +141,9 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes | None) -> None:
-        """Store a header; called by the parser."""
+        """Store a header, but no trailer; called by the parser."""
+        if self._in_body:
+            return
         self._headers.append((name, value or b""))
         if len(self._headers) > MAX_HEADERS:
             self._reject(Status.HEAD_TOO_LARGE, "too many headers")
@@ -165,6 +175,7 @@
         self._is_started = False
         self._in_body = False
         self._head_bytes = 0
+        self._trailer_bytes = 0
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -109,3 +109,37 @@
         self.assertTrue(normalizer.is_partial)
         normalizer.feed(VALID_REQUEST[20:])
         self.assertFalse(normalizer.is_partial)
+
+    def test_trailers_are_bounded_and_change_no_header(self):
+        head = (
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+            b"\r\n2\r\n{}\r\n0\r\n"
+        )
+        parser = guard.RequestParser(limits=LIMITS)
+        (request,) = parser.feed(head + b"Host: y\r\nB: c\r\n\r\n")
+        self.assertEqual("x", request.headers["host"])
+        self.assertNotIn("b", request.headers)
+        self.assertEqual(b"{}", request.body)
+        for trailer in (b"A: " + b"x" * 9_000, b"A: b\r\n" * 2_000):
+            parser = guard.RequestParser(limits=LIMITS)
+            (rejection,) = parser.feed(head + trailer)
+            self.assertEqual(guard.Status.HEAD_TOO_LARGE, rejection.status)
+
+    def test_extensions_of_a_chunk_are_bounded(self):
+        head = (
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+            b"\r\n2;"
+        )
+        parser = guard.RequestParser(limits=LIMITS)
+        (rejection,) = parser.feed(head + b"x" * 9_000)
+        self.assertEqual(guard.Status.HEAD_TOO_LARGE, rejection.status)
+
+    def test_small_chunks_up_to_the_limit_of_a_body_are_accepted(self):
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+        data = head + b"\r\n" + b"1\r\nx\r\n" * 4_096 + b"0\r\n\r\n"
+        for size in (1, 7, 2_048, len(data)):
+            parser = guard.RequestParser(limits=LIMITS)
+            results = []
+            for start in range(0, len(data), size):
+                results += parser.feed(data[start : start + size])
+            self.assertEqual([b"x" * 4_096], [r.body for r in results])
