Free what a closed connection holds at once

What callers saw: clients that send most of a body and disconnect leave it behind. 160 of them with 1 MiB each, 8 at a time, took an entry host to 203 MB where it may have 112; no connection was open by then.

Cause: a connection and its stream refer to each other, and so do the request parser and the HTTP library's. Only the garbage collector frees them, and the loop's thresholds make collections rare: 50,000 objects, whatever their size.

Change: a connection that ends discards what it has received and drops these references.

--- a/chervilwheel/guard.py
+++ b/chervilwheel/guard.py
@@ -89,6 +89,17 @@
         """Whether a request was partly received."""
         return self._is_started
 
+    def discard(self) -> None:
+        """Free what was received; nothing more is parsed.
+
+        The parser refers to this object, so that neither would be freed
+        before the next garbage collection.
+        """
+        self._is_rejected = True
+        self._parser = None
+        self._results.clear()
+        self._reset()
+
     def feed(self, data: bytes) -> list[FramingResult]:
         """Parse more data.
 
--- a/chervilwheel/http/server.py
+++ b/chervilwheel/http/server.py
@@ -175,8 +175,8 @@
             return ""
 
     def close(self) -> None:
-        self._server.remove(self)
         self._stream.close()
+        self._release()
 
     def check_timeouts(self, now: float) -> None:
         """Apply the request timeout or the idle timeout."""
@@ -249,13 +249,20 @@
         self.finish_exchange(Response(code))
 
     def _on_closed(self) -> None:
-        self._server.remove(self)
         exchange, self._exchange = self._exchange, None
+        self._release()
         if exchange is not None and not exchange.has_responded:
             exchange.has_responded = True
             if exchange.on_disconnect is not None:
                 exchange.on_disconnect()
 
+    def _release(self) -> None:
+        """Free what a closed connection holds, without a collection."""
+        self._server.remove(self)
+        self._parser.discard()
+        self._queued.clear()
+        self._stream.on_data = self._stream.on_closed = None
+
 
 def _encode(response: Response, *, keep: bool) -> bytes:
     reason = http.client.responses.get(response.status, "Unknown")
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,8 +1,10 @@
 """The HTTP server and client on the stream loop, over real sockets."""
 
+import gc
 import socket
 import threading
 import time
+import weakref
 
 import circuits
 import testtools
@@ -135,6 +137,37 @@
         received = self.send_raw(b"GET /ok HTTP/1.1\r\nHost: x\r\n\r\n")
         self.assertIn(b"200", received)
 
+    def open_and_send(self, data):
+        sock = socket.create_connection(self.address)
+        self.addCleanup(sock.close)
+        sock.sendall(data)
+        sock.setblocking(False)
+        return sock
+
+    def test_a_closed_connection_is_freed_without_a_collection(self):
+        gc.disable()
+        self.addCleanup(gc.enable)
+        refs = []
+        accept = self.server._accept
+
+        def record(stream):
+            accept(stream)
+            (conn,) = self.server._conns
+            refs.extend((weakref.ref(conn), weakref.ref(conn._parser)))
+
+        self.server._accept = record
+        self.server.stop_listening()
+        self.server.listen(self.address)
+        sock = self.open_and_send(
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc"
+        )
+        self.tick_until(lambda: refs)
+        self.app.tick(timeout=0.01)
+        sock.close()
+        self.tick_until(lambda: not self.server._conns)
+        self.app.tick(timeout=0.01)
+        self.assertEqual([None, None], [ref() for ref in refs])
+
     def test_client_disconnect_is_reported(self):
         self.is_response_delayed = True
         sock = socket.create_connection(self.address)
