Keep a refused client's connection until it has read why

What callers saw: a client that is refused while it sends (413 for its length, 400, 408) may see a reset in place of the response. In the test the response is followed by a reset, not by the end of the connection; where the network is slower than loopback the reset may overtake what wasn't read yet.

Cause: the connection was closed as soon as the response was sent. Closing a connection with unread data resets it, and so does data that arrives later. A client that didn't read its last response was checked 100 times a second, without a limit.

Change: while the client may be sending, the server ends its own direction, reads and drops what comes, and closes when the client does or after 1 s. Other connections are closed at once, as before. A response that makes no progress for the idle timeout ends the connection.

--- a/chervilwheel/http/server.py
+++ b/chervilwheel/http/server.py
@@ -19,6 +19,8 @@
 # connection that exceeds it is closed.
 MAX_PIPELINED = 16
 TIMEOUT_CHECK_INTERVAL_S = 0.5
+# For the client to read the last response and to disconnect.
+CLOSING_S = 1.0
 
 
 class Response(typing.NamedTuple):
@@ -42,7 +44,12 @@
 
 
 class Timeouts(typing.NamedTuple):
-    """Maximum time to receive a request and to stay idle, seconds."""
+    """Time limits of a connection, seconds.
+
+    :ivar request_s: maximum time to receive a request
+    :ivar idle_s: maximum time without a request, or without any progress in
+        sending a response
+    """
 
     request_s: float = 3.0
     idle_s: float = 15.0
@@ -157,14 +164,21 @@
         )
         self._exchange: Exchange | None = None
         self._waiting_since = server.heap.clock.now()
+        self._unsent_bytes = 0
         self._keep_alive = True
+        self._is_closing = False
+        # Whether the client may send what isn't read.
+        self._has_unread = False
         stream.on_data = self._on_data
         stream.on_closed = self._on_closed
+        stream.on_sent = self._on_sent
 
     @property
     def is_busy(self) -> bool:
         """Whether a request was partly received or has no response yet."""
-        return bool(self._exchange or self._queued or self._parser.is_partial)
+        return not self._is_closing and bool(
+            self._exchange or self._queued or self._parser.is_partial
+        )
 
     @property
     def client_host(self) -> str:
@@ -179,15 +193,23 @@
         self._release()
 
     def check_timeouts(self, now: float) -> None:
-        """Apply the request timeout or the idle timeout."""
+        """Close the connection if the client keeps it waiting."""
         if self._exchange is not None:
             return
         timeouts = self._server.timeouts
-        if self._parser.is_partial:
-            if now - self._waiting_since > timeouts.request_s:
-                self._reject(guard.Status.TIMEOUT, "request timeout")
-        elif now - self._waiting_since > timeouts.idle_s:
-            self.close()
+        unsent = self._stream.unsent_bytes
+        if unsent < self._unsent_bytes:
+            self._waiting_since = now
+        self._unsent_bytes = unsent
+        waited_s = now - self._waiting_since
+        if self._is_closing and not unsent:
+            if waited_s > CLOSING_S:
+                self.close()
+        elif unsent or not self._parser.is_partial:
+            if waited_s > timeouts.idle_s:
+                self.close()
+        elif waited_s > timeouts.request_s:
+            self._reject(guard.Status.TIMEOUT, "request timeout")
 
     def finish_exchange(self, response: Response) -> None:
         """Send the response to the current request."""
@@ -200,15 +222,38 @@
         elif self._queued:
             self._server.heap.call_later(0.0, self._process_queue)
 
+    def _clear(self) -> None:
+        """Free what was received but isn't being served."""
+        self._parser.discard()
+        self._queued.clear()
+
     def _close_when_sent(self) -> None:
-        if self._stream.is_closed:
-            self._server.remove(self)
-        elif self._stream.unsent_bytes:
-            self._server.heap.call_later(0.01, self._close_when_sent)
+        """Close once the response is sent and the client can't lose it.
+
+        Data that arrives after the end of a connection resets it, and the
+        client may lose a response that it hasn't read. So while the client
+        may be sending, what it sends is read until it disconnects.
+        """
+        if self._queued or self._parser.is_partial:
+            self._has_unread = True
+        self._clear()
+        self._is_closing = True
+        if not self._stream.unsent_bytes:
+            self._on_sent()
+
+    def _on_sent(self) -> None:
+        if not self._is_closing:
+            return
+        if self._has_unread:
+            self._waiting_since = self._server.heap.clock.now()
+            self._stream.end_sending()
         else:
             self.close()
 
     def _on_data(self, data: bytes) -> None:
+        if self._is_closing or not self._keep_alive:
+            self._has_unread = True
+            return
         if not self._parser.is_partial:
             self._waiting_since = self._server.heap.clock.now()
         self._queued.extend(self._parser.feed(data))
@@ -243,7 +288,6 @@
     def _reject(self, status: guard.Status, detail: str) -> None:
         code, _ = status.value
         _LOG.info("http: request rejected", extra={"detail": detail})
-        self._queued.clear()
         self._keep_alive = False
         self._exchange = None
         self.finish_exchange(Response(code))
@@ -259,9 +303,9 @@
     def _release(self) -> None:
         """Free what a closed connection holds, without a collection."""
         self._server.remove(self)
-        self._parser.discard()
-        self._queued.clear()
+        self._clear()
         self._stream.on_data = self._stream.on_closed = None
+        self._stream.on_sent = None
 
 
 def _encode(response: Response, *, keep: bool) -> bytes:
--- a/chervilwheel/streams.py
+++ b/chervilwheel/streams.py
@@ -28,6 +28,7 @@
     :ivar on_data: called with received data
     :ivar on_closed: called when the peer closes the connection or an error
         occurs; :meth:`close` doesn't call it
+    :ivar on_sent: called when all buffered data has been sent
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         self.on_open: typing.Callable[[], None] | None = None
         self.on_data: typing.Callable[[bytes], None] | None = None
         self.on_closed: typing.Callable[[], None] | None = None
+        self.on_sent: typing.Callable[[], None] | None = None
         self._send_buffer = bytearray()
 
     @property
@@ -77,6 +79,8 @@
             del self._send_buffer[:sent]
         if not self._send_buffer and not self.is_closed:
             self._loop.unwatch_writable(self)
+            if self.on_sent is not None:
+                self.on_sent()
 
     def handle_readable(self) -> None:
         """Read available data and pass it to ``on_data``."""
@@ -93,6 +97,13 @@
         if self.on_data is not None:
             self.on_data(data)
 
+    def end_sending(self) -> None:
+        """Tell the peer that nothing more will be sent."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.abort()
+
     def abort(self) -> None:
         """Close and call ``on_closed``."""
         if self.is_closed:
--- a/tests/test_entrydrain.py
+++ b/tests/test_entrydrain.py
@@ -54,7 +54,7 @@
         self.answer = b""
         self.is_closed = False
         self.sent_at = heap.clock.now()
-        self.on_data = self.on_closed = None
+        self.on_data = self.on_closed = self.on_sent = None
 
     @property
     def status(self):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,6 +1,8 @@
 """The HTTP server and client on the stream loop, over real sockets."""
 
+import contextlib
 import gc
+import select
 import socket
 import threading
 import time
@@ -144,6 +146,38 @@
         sock.setblocking(False)
         return sock
 
+    def read_to_end(self, sock):
+        """Return all data until the server closes the connection."""
+        received = bytearray()
+
+        def has_ended():
+            with contextlib.suppress(BlockingIOError):
+                chunk = sock.recv(65536)
+                received.extend(chunk)
+                return not chunk
+            return False
+
+        self.tick_until(has_ended)
+        return bytes(received)
+
+    def test_a_refused_client_that_goes_on_sending_reads_why(self):
+        sock = self.open_and_send(
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9999\r\n\r\n"
+        )
+        sock.send(b"x" * 9_000)
+        self.tick_until(lambda: select.select([sock], [], [], 0)[0])
+        sock.send(b"x" * 999)
+        self.app.tick(timeout=0.01)
+        received = self.read_to_end(sock)
+        self.assertIn(b" 413 ", received.split(b"\r\n")[0])
+        sock.close()
+        self.tick_until(lambda: not self.server._conns)
+
+    def test_a_refused_client_that_stays_is_disconnected(self):
+        sock = self.open_and_send(b"not http\r\n\r\n" * 9)
+        self.assertIn(b" 400 ", self.read_to_end(sock))
+        self.tick_until(lambda: not self.server._conns)
+
     def test_a_closed_connection_is_freed_without_a_collection(self):
         gc.disable()
         self.addCleanup(gc.enable)
