Read no further while earlier requests of a connection wait

What callers saw: a client may send up to 16 whole requests behind one in progress, and ask for responses that it doesn't read; all of it is kept. 10 connections with 12 MiB each took an entry host to 168 MB of 112, 30 that ask 12 times for a document of 1 MiB a control host to 321 MB of 160.

Cause: reading went on in every state of a connection, and the next request was served while the response to the one before was unsent.

Change: over 16 KiB behind a request in progress or an unread response pause the reading, so that TCP stops the client; the next request is served once the response has left. A disconnect is still noticed while less than that waits. The guard counts what a request in parts holds, which the pause needs.

New tests: little is read behind a request in progress; 12 requests at a time continue after each pause; responses wait for a client that doesn't read, and go on when it does.

--- a/chervilwheel/guard.py
+++ b/chervilwheel/guard.py
@@ -5,12 +5,16 @@
 """
 
 import enum
+import sys
 import typing
 
 import httptools
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_HEADERS = 100
+# Objects of a request and of one of its headers.
+REQUEST_BYTES = 1_024
+HEADER_BYTES = 256
 _REPLACED_HEADERS = {
     b"content-length",
     b"transfer-encoding",
@@ -43,17 +47,25 @@
     data: bytes
     keep_alive: bool
 
+    @property
+    def kept_bytes(self) -> int:
+        """Approximate memory of the request."""
+        return REQUEST_BYTES + len(self.data)
+
 
 class Rejection(typing.NamedTuple):
     """An invalid request; the connection is to be closed."""
 
     status: Status
     detail: str
+    kept_bytes = REQUEST_BYTES
 
 
 class ExpectContinue(typing.NamedTuple):
     """The client sent ``Expect: 100-continue`` and waits to send the body."""
 
+    kept_bytes = REQUEST_BYTES
+
 
 class Request(typing.NamedTuple):
     """A complete, parsed request.
@@ -67,6 +79,14 @@
     body: bytes
     keep_alive: bool
 
+    @property
+    def kept_bytes(self) -> int:
+        """Approximate memory of the request."""
+        head = 2 * len(self.target) + HEADER_BYTES * len(self.headers)
+        for name, value in self.headers.items():
+            head += len(name) + len(value)
+        return REQUEST_BYTES + head + len(self.body)
+
 
 FramingResult = NormalizedRequest | Request | Rejection | ExpectContinue
 
@@ -89,6 +109,17 @@
         """Whether a request was partly received."""
         return self._is_started
 
+    @property
+    def kept_bytes(self) -> int:
+        """Approximate memory of the request that was partly received."""
+        if not self._is_started:
+            return 0
+        # The HTTP parser and the list of headers hold a head once each.
+        head = 2 * (self._first_bytes + self._head_bytes)
+        if self._in_body:
+            head = self._head_kept_bytes + self._trailer_bytes
+        return REQUEST_BYTES + head + sys.getsizeof(self._body)
+
     def discard(self) -> None:
         """Free what was received; nothing more is parsed.
 
@@ -121,6 +152,7 @@
 
     def _feed_chunk(self, data: bytes) -> None:
         self._head_bytes += len(data)
+        self._first_bytes = self._first_bytes or len(data)
         was_in_body, received = self._in_body, len(self._body)
         try:
             self._parser.feed_data(data)
@@ -162,6 +194,10 @@
     def on_headers_complete(self) -> None:
         """Validate the request head; called by the parser."""
         self._in_body = True
+        self._head_kept_bytes = len(self._url) + sum(
+            HEADER_BYTES + len(name) + len(value)
+            for name, value in self._headers
+        )
         self._check_head()
         expects = dict((n.lower(), v) for n, v in self._headers)
         if expects.get(b"expect", b"").lower() == b"100-continue":
@@ -186,6 +222,9 @@
         self._is_started = False
         self._in_body = False
         self._head_bytes = 0
+        # Size of the data in which the request began.
+        self._first_bytes = 0
+        self._head_kept_bytes = 0
         self._trailer_bytes = 0
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
--- a/chervilwheel/http/server.py
+++ b/chervilwheel/http/server.py
@@ -18,6 +18,8 @@
 # Maximum number of pipelined requests queued behind the current one. A
 # connection that exceeds it is closed.
 MAX_PIPELINED = 16
+# Reading stops while so many bytes wait for a response to an earlier request.
+MAX_PIPELINED_BYTES = 16_384
 TIMEOUT_CHECK_INTERVAL_S = 0.5
 # For the client to read the last response and to disconnect.
 CLOSING_S = 1.0
@@ -162,6 +164,7 @@
         self._queued: collections.deque[guard.FramingResult] = (
             collections.deque()
         )
+        self._queued_bytes = 0
         self._exchange: Exchange | None = None
         self._waiting_since = server.heap.clock.now()
         self._unsent_bytes = 0
@@ -221,11 +224,14 @@
             self._close_when_sent()
         elif self._queued:
             self._server.heap.call_later(0.0, self._process_queue)
+        elif not self._stream.unsent_bytes:
+            self._stream.resume_reading()
 
     def _clear(self) -> None:
         """Free what was received but isn't being served."""
         self._parser.discard()
         self._queued.clear()
+        self._queued_bytes = 0
 
     def _close_when_sent(self) -> None:
         """Close once the response is sent and the client can't lose it.
@@ -243,10 +249,11 @@
 
     def _on_sent(self) -> None:
         if not self._is_closing:
-            return
-        if self._has_unread:
+            self._process_queue()
+        elif self._has_unread:
             self._waiting_since = self._server.heap.clock.now()
             self._stream.end_sending()
+            self._stream.resume_reading()
         else:
             self.close()
 
@@ -256,15 +263,32 @@
             return
         if not self._parser.is_partial:
             self._waiting_since = self._server.heap.clock.now()
-        self._queued.extend(self._parser.feed(data))
+        items = self._parser.feed(data)
+        self._queued.extend(items)
+        self._queued_bytes += sum(item.kept_bytes for item in items)
         if len(self._queued) > MAX_PIPELINED:
             self.close()
             return
         self._process_queue()
+        self._pause_if_ahead()
+
+    def _pause_if_ahead(self) -> None:
+        """Read no further while requests wait for a response."""
+        if not self._stream.is_closed and not self._is_closing:
+            is_waiting = self._exchange is not None or (
+                self._stream.unsent_bytes > 0
+            )
+            ahead = self._queued_bytes + self._parser.kept_bytes
+            if is_waiting and ahead > MAX_PIPELINED_BYTES:
+                self._has_unread = True
+                self._stream.pause_reading()
 
     def _process_queue(self) -> None:
         while self._queued and self._exchange is None:
+            if self._stream.unsent_bytes:
+                return
             item = self._queued.popleft()
+            self._queued_bytes -= item.kept_bytes
             if isinstance(item, guard.ExpectContinue):
                 self._stream.send(guard.CONTINUE_RESPONSE)
             elif isinstance(item, guard.Rejection):
@@ -275,6 +299,9 @@
                 exchange = Exchange(request=item, conn=self)
                 self._exchange = exchange
                 self._handle(exchange)
+        if not self._is_closing and self._exchange is None:
+            self._has_unread = False
+            self._stream.resume_reading()
 
     def _handle(self, exchange: Exchange) -> None:
         try:
--- a/chervilwheel/streams.py
+++ b/chervilwheel/streams.py
@@ -38,6 +38,7 @@
         self.sock = sock
         self.is_open = is_open
         self.is_closed = False
+        self._is_paused = False
         self.on_open: typing.Callable[[], None] | None = None
         self.on_data: typing.Callable[[bytes], None] | None = None
         self.on_closed: typing.Callable[[], None] | None = None
@@ -97,6 +98,18 @@
         if self.on_data is not None:
             self.on_data(data)
 
+    def pause_reading(self) -> None:
+        """Leave further data to the socket; a disconnect isn't noticed."""
+        if not self.is_closed and not self._is_paused:
+            self._is_paused = True
+            self._loop.unwatch_readable(self)
+
+    def resume_reading(self) -> None:
+        """Read again after a pause."""
+        if not self.is_closed and self._is_paused:
+            self._is_paused = False
+            self._loop.watch_readable(self)
+
     def end_sending(self) -> None:
         """Tell the peer that nothing more will be sent."""
         try:
@@ -252,6 +265,10 @@
         """Start polling a stream for received data."""
         self._poller.addReader(self, stream.sock)
 
+    def unwatch_readable(self, stream: Stream) -> None:
+        """Stop polling a stream for received data."""
+        self._poller.removeReader(stream.sock)
+
     def remove(self, stream: Stream) -> None:
         """Remove a stream and stop polling it."""
         self._streams.pop(stream.sock, None)
--- a/tests/test_entrydrain.py
+++ b/tests/test_entrydrain.py
@@ -56,6 +56,9 @@
         self.sent_at = heap.clock.now()
         self.on_data = self.on_closed = self.on_sent = None
 
+    def resume_reading(self):
+        """Reading is never paused."""
+
     @property
     def status(self):
         """Status of the whole response, 0 without one."""
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -143,3 +143,14 @@
             for start in range(0, len(data), size):
                 results += parser.feed(data[start : start + size])
             self.assertEqual([b"x" * 4_096], [r.body for r in results])
+
+    def test_what_a_partial_request_holds_is_counted(self):
+        parser = guard.RequestParser(limits=LIMITS)
+        self.assertEqual(0, parser.kept_bytes)
+        parser.feed(b"POST / HTTP/1.1\r\nHost: x\r\nA: " + b"y" * 1_000)
+        self.assertGreater(parser.kept_bytes, 1_000)
+        parser.feed(b"\r\nContent-Length: 4000\r\n\r\n" + b"z" * 3_000)
+        self.assertGreater(parser.kept_bytes, 4_000)
+        parser.discard()
+        self.assertEqual(0, parser.kept_bytes)
+        self.assertEqual([], parser.feed(b"z" * 1_000))
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -178,6 +178,66 @@
         self.assertIn(b" 400 ", self.read_to_end(sock))
         self.tick_until(lambda: not self.server._conns)
 
+    def test_little_is_read_behind_a_request_in_progress(self):
+        self.is_response_delayed = True
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4096\r\n\r\n"
+        request = head + b"x" * 4096
+        sock = self.open_and_send(request)
+        self.tick_until(lambda: self.exchanges)
+        sent = 0
+        for _ in range(50):
+            with contextlib.suppress(BlockingIOError):
+                sent += sock.send(request * 4)
+            self.app.tick(timeout=0.001)
+        (conn,) = self.server._conns
+        held = conn._queued_bytes + conn._parser.kept_bytes
+        self.assertLess(held, 3 * http_server.MAX_PIPELINED_BYTES)
+        self.assertGreater(sent, 2 * held)
+
+    def test_pipelined_requests_continue_after_a_pause(self):
+        self.is_response_delayed = True
+        head = b"POST /%d HTTP/1.1\r\nHost: x\r\nContent-Length: 4000\r\n\r\n"
+        sock = self.open_and_send(b"")
+        sock.setblocking(True)
+        for number in range(12):
+            sock.sendall(head % number + b"x" * 4000)
+        for number in range(40):
+            self.tick_until(lambda n=number: len(self.exchanges) > n)
+            exchange = self.exchanges[number]
+            self.assertEqual(f"/{number}", exchange.request.target)
+            exchange.respond(http_server.Response(200))
+            sock.sendall(head % (number + 12) + b"x" * 4000)
+
+    def test_responses_wait_for_a_client_that_does_not_read(self):
+        body = b"x" * 2_000_000
+
+        def handle(exchange):
+            self.exchanges.append(exchange)
+            exchange.respond(http_server.Response(200, body))
+
+        self.server.handler = handle
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        sock.connect(tuple(self.address))
+        sock.sendall(12 * b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        for _ in range(100):
+            self.app.tick(timeout=0.001)
+        self.assertLess(len(self.exchanges), 12)
+        (conn,) = self.server._conns
+        self.assertLess(conn._stream.unsent_bytes, 2 * len(body))
+        # It is served on once it reads.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2_000_000)
+        sock.setblocking(False)
+        before = len(self.exchanges)
+
+        def is_served():
+            with contextlib.suppress(BlockingIOError):
+                sock.recv(2_000_000)
+            return len(self.exchanges) > before
+
+        self.tick_until(is_served)
+
     def test_a_closed_connection_is_freed_without_a_collection(self):
         gc.disable()
         self.addCleanup(gc.enable)
