Bound what all clients cost in one turn of the loop

What callers saw: nothing yet; found while looking for what else clients that don't behave may take. Each connection was read up to 256 KiB in every turn, so that a few hundred that send at once make one turn as long as it takes to parse some 50 MB. Timers, and with them leases and heartbeats, wait so long.

Change: clients are read 64 KiB at a time, and 256 KiB a turn together, bodies passed to a handler included. Those left over come first in the next turn. Links and answers of executors aren't counted. A long send buffer is sent in parts rather than copied whole each time.

--- a/chervilwheel/http/server.py
+++ b/chervilwheel/http/server.py
@@ -126,7 +126,9 @@
 
         :raises OSError: when the address can't be bound
         """
-        self._listeners.append(self._loop.listen(address, self._accept))
+        self._listeners.append(
+            self._loop.listen(address, self._accept, is_for_clients=True)
+        )
 
     def stop_listening(self) -> None:
         """Accept no more connections."""
@@ -145,6 +147,17 @@
         """Remove a closed connection from the set of connections."""
         self._conns.discard(conn)
 
+    def handle(self, exchange: Exchange) -> None:
+        """Pass a request to the handler."""
+        self._loop.add_client_cost(len(exchange.request.body))
+        try:
+            self.handler(exchange)
+        except Exception as exc:
+            _LOG.exception(
+                "http: request handler failed", extra={"error": repr(exc)}
+            )
+            exchange.respond(Response(500))
+
     def _accept(self, stream: streams.Stream) -> None:
         self._conns.add(_Conn(server=self, stream=stream))
 
@@ -298,20 +311,11 @@
                 self._keep_alive = item.keep_alive
                 exchange = Exchange(request=item, conn=self)
                 self._exchange = exchange
-                self._handle(exchange)
+                self._server.handle(exchange)
         if not self._is_closing and self._exchange is None:
             self._has_unread = False
             self._stream.resume_reading()
 
-    def _handle(self, exchange: Exchange) -> None:
-        try:
-            self._server.handler(exchange)
-        except Exception as exc:
-            _LOG.exception(
-                "http: request handler failed", extra={"error": repr(exc)}
-            )
-            exchange.respond(Response(500))
-
     def _reject(self, status: guard.Status, detail: str) -> None:
         code, _ = status.value
         _LOG.info("http: request rejected", extra={"detail": detail})
--- a/chervilwheel/streams.py
+++ b/chervilwheel/streams.py
@@ -14,6 +14,12 @@
 
 _LOG = logging.getLogger("streams")
 READ_BYTES = 262_144
+# The largest read from a client, and what all clients together may cost in
+# one turn of the loop, bytes. More waits for the next turn, so that timers
+# and links to other hosts are never kept waiting by clients.
+CLIENT_READ_BYTES = 65_536
+CLIENT_TURN_BYTES = 262_144
+SEND_BYTES = 262_144
 BACKLOG = 512
 _CONNECT_PENDING_ERRNOS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EAGAIN)
 
@@ -24,6 +30,7 @@
     :param loop: the loop that polls the socket
     :param sock: a non-blocking socket
     :param is_open: whether the connection is established
+    :param is_client: whether it is one of those whose cost a turn bounds
     :ivar on_open: called when the connection is established
     :ivar on_data: called with received data
     :ivar on_closed: called when the peer closes the connection or an error
@@ -32,12 +39,18 @@
     """
 
     def __init__(
-        self, *, loop: "StreamLoop", sock: socket.socket, is_open: bool
+        self,
+        *,
+        loop: "StreamLoop",
+        sock: socket.socket,
+        is_open: bool,
+        is_client: bool = False,
     ) -> None:
         self._loop = loop
         self.sock = sock
         self.is_open = is_open
         self.is_closed = False
+        self.is_client = is_client
         self._is_paused = False
         self.on_open: typing.Callable[[], None] | None = None
         self.on_data: typing.Callable[[bytes], None] | None = None
@@ -76,27 +89,33 @@
             if self.is_closed:
                 return
         if self._send_buffer:
-            sent = self._try_send(bytes(self._send_buffer))
+            sent = self._try_send(bytes(self._send_buffer[:SEND_BYTES]))
             del self._send_buffer[:sent]
         if not self._send_buffer and not self.is_closed:
             self._loop.unwatch_writable(self)
             if self.on_sent is not None:
                 self.on_sent()
 
-    def handle_readable(self) -> None:
-        """Read available data and pass it to ``on_data``."""
+    def handle_readable(self) -> int:
+        """Read available data and pass it to ``on_data``.
+
+        :returns: number of bytes read
+        """
         try:
-            data = self.sock.recv(READ_BYTES)
+            data = self.sock.recv(
+                CLIENT_READ_BYTES if self.is_client else READ_BYTES
+            )
         except BlockingIOError:
-            return
+            return 0
         except OSError:
             self.abort()
-            return
+            return 0
         if not data:
             self.abort()
-            return
+            return 0
         if self.on_data is not None:
             self.on_data(data)
+        return len(data)
 
     def pause_reading(self) -> None:
         """Leave further data to the socket; a disconnect isn't noticed."""
@@ -151,6 +170,7 @@
     """A poller that reports when it begins and ends to wait.
 
     :ivar polled_at: when the last poll ended, seconds
+    :ivar polls: number of polls
     """
 
     def __init__(
@@ -158,6 +178,7 @@
     ) -> None:
         super().__init__()
         self.polled_at = clk.now()
+        self.polls = 0
         self._clock = clk
         self._load = load
 
@@ -166,6 +187,7 @@
             self._load.poll_begins()
         super()._generate_events(event)
         self.polled_at = self._clock.now()
+        self.polls += 1
         if self._load is not None:
             self._load.poll_ended()
 
@@ -186,6 +208,11 @@
         self._poller = _Poller(clk=clk, load=load).register(self)
         self._streams: dict[socket.socket, Stream] = {}
         self._listeners: dict[socket.socket, AcceptCallback] = {}
+        self._client_listeners: set[socket.socket] = set()
+        # Clients with data to read, the one that has waited longest first.
+        self._readable: dict[Stream, None] = {}
+        self._turn = 0
+        self._client_bytes = 0
 
     def polled_at(self) -> float:
         """Return when the last poll ended, seconds.
@@ -210,10 +237,16 @@
         return stream
 
     def listen(
-        self, address: addresses.Address, acceptor: AcceptCallback
+        self,
+        address: addresses.Address,
+        acceptor: AcceptCallback,
+        *,
+        is_for_clients: bool = False,
     ) -> socket.socket:
         """Accept connections on an address.
 
+        :param is_for_clients: whether to bound what the connections cost in
+            a turn of the loop
         :raises OSError: when the address can't be bound
         """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -222,9 +255,15 @@
         sock.bind(tuple(address))
         sock.listen(BACKLOG)
         self._listeners[sock] = acceptor
+        if is_for_clients:
+            self._client_listeners.add(sock)
         self._poller.addReader(self, sock)
         return sock
 
+    def add_client_cost(self, size: int) -> None:
+        """Count work for a client in this turn, like bytes read from it."""
+        self._client_bytes += size
+
     def watch_datagrams(
         self, sock: socket.socket, callback: typing.Callable[[], None]
     ) -> None:
@@ -247,6 +286,7 @@
             self._close_listener(sock)
 
     def _close_listener(self, sock: socket.socket) -> None:
+        self._client_listeners.discard(sock)
         if self._listeners.pop(sock, None) is not None:
             self._poller.discard(sock)
             sock.close()
@@ -267,16 +307,22 @@
 
     def unwatch_readable(self, stream: Stream) -> None:
         """Stop polling a stream for received data."""
+        self._readable.pop(stream, None)
         self._poller.removeReader(stream.sock)
 
     def remove(self, stream: Stream) -> None:
         """Remove a stream and stop polling it."""
         self._streams.pop(stream.sock, None)
+        self._readable.pop(stream, None)
         self._poller.discard(stream.sock)
 
     @circuits.handler("_read")
     def _on_read(self, sock: socket.socket) -> None:
         stream = self._streams.get(sock)
+        if stream is not None and stream.is_client:
+            self._readable[stream] = None
+            self._read_clients()
+            return
         if stream is not None:
             stream.handle_readable()
             return
@@ -288,6 +334,19 @@
         else:
             self._accept_all(sock, acceptor)
 
+    def _read_clients(self) -> None:
+        """Read from clients while this turn has room for them.
+
+        The poller reports those that are left again with the next turn.
+        """
+        if self._turn != self._poller.polls:
+            self._turn = self._poller.polls
+            self._client_bytes = 0
+        while self._readable and self._client_bytes < CLIENT_TURN_BYTES:
+            stream = next(iter(self._readable))
+            del self._readable[stream]
+            self._client_bytes += stream.handle_readable()
+
     @circuits.handler("_write")
     def _on_write(self, sock: socket.socket) -> None:
         stream = self._streams.get(sock)
@@ -319,7 +378,12 @@
                 return
             accepted.setblocking(False)
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            stream = Stream(loop=self, sock=accepted, is_open=True)
+            stream = Stream(
+                loop=self,
+                sock=accepted,
+                is_open=True,
+                is_client=sock in self._client_listeners,
+            )
             self._streams[accepted] = stream
             self._poller.addReader(self, accepted)
             acceptor(stream)
--- a/tests/test_entrydrain.py
+++ b/tests/test_entrydrain.py
@@ -95,11 +95,15 @@
             node=node, entry=world.entries[host], front=self.server
         )
 
-    def listen(self, _address, acceptor):
+    def listen(self, _address, acceptor, *, is_for_clients):
         """Accept connections."""
+        assert is_for_clients
         self._acceptor = acceptor
         return self
 
+    def add_client_cost(self, _size):
+        """Each request has a turn of its own."""
+
     def stop_listening(self, _listener):
         """Refuse connections."""
         self.is_listening = False
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -262,6 +262,26 @@
         self.app.tick(timeout=0.01)
         self.assertEqual([None, None], [ref() for ref in refs])
 
+    def test_clients_never_keep_the_loop_for_long(self):
+        turns = []
+        read = []
+        for _ in range(6):
+            sock = self.open_and_send(b"")
+            sock.setblocking(True)
+            threading.Thread(
+                target=sock.sendall, args=(b"x" * 2_000_000,), daemon=True
+            ).start()
+        self.tick_until(lambda: len(self.app.loop._streams) == 6)
+        for stream in self.app.loop._streams.values():
+            stream.on_data = lambda data: read.append(len(data))
+        for _ in range(100):
+            before = sum(read)
+            self.app.tick(timeout=0.01)
+            turns.append(sum(read) - before)
+        most = streams.CLIENT_TURN_BYTES + streams.CLIENT_READ_BYTES
+        self.assertLess(max(turns), most)
+        self.assertGreater(sum(read), most)
+
     def test_client_disconnect_is_reported(self):
         self.is_response_delayed = True
         sock = socket.create_connection(self.address)
