Bound what all client connections of a process hold together

What callers saw: clients that each stay inside the limits of one request exhaust a process together, and end it. 120 connections that stop a byte short of 1 MiB took an entry host to 163 MB where it may have 112 (whole, in pieces, in chunks of 64 KiB), 40 of 4 MiB a control host to 198 of 160; 100 jobs of 1 MiB in progress took 143 of 112; 600 connections with half a head each 617 and 625 descriptors of 400; 60 jobs of 9,000 tasks kept the holder so busy that the ordinary job was answered 502.

Cause: limits of size and time apply to one connection; nothing bounds their sum. The body of a request was kept until its response.

Change: one account a process (connbudget), in which each connection of any port reports what it holds in any state: head and body as they come, requests behind one in progress, the request being served, unread responses, and a fixed amount for itself. Over the limit the oldest connection with an average share or more gives way, so that a caller that sends little never does; with too many connections the oldest that has not been served goes first. A request in progress never gives way; they may use three quarters, and a further one is refused. A decoded job is counted by its steps, its body is dropped.

A refusal is 503 with Retry-After and says that the request will never run. That is true: it hasn't been passed on. A job that this host has open, or had until its callers left, isn't refused: its connection is closed. Without a whole head 408 promises nothing.

New settings memory_mb, max_descriptors, connection_memory_mb, max_connections; new metrics connections, connection_bytes, connections_evicted, connections_refused. Rejections are logged twice a second at most.

--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -227,6 +227,10 @@
         for job in list(expired):
             del self._left[job]
 
+    def is_known(self, job: ids.JobId) -> bool:
+        """Whether a job is open here, or was until its callers left."""
+        return job in self._jobs or job in self._left
+
     def remove_caller(self, job: ids.JobId, number: int) -> None:
         """Remove a job's caller; cancel the job if it was the last one."""
         state = self._jobs.get(job)
--- a/chervilwheel/control/nodesettings.py
+++ b/chervilwheel/control/nodesettings.py
@@ -1,11 +1,15 @@
 """Settings of a control host or an entry host, loaded from TOML."""
 
+import os
 import pathlib
 import re
+import resource
+import sys
 import tomllib
 import typing
 
 from chervilwheel import addresses
+from chervilwheel import connbudget
 from chervilwheel import errors
 from chervilwheel import ids
 from chervilwheel.workers import leases
@@ -13,6 +17,13 @@
 _MISSING = object()
 # Refusals name the same time in Retry-After.
 DEFAULT_RESEND_S = 1.0
+BYTES_PER_MB = 1024 * 1024
+# Client connections get a share of the process's memory. The rest is for its
+# state, and for decoding one request.
+CONNECTION_MEMORY_SHARE = 0.25
+MAX_CONNECTION_MEMORY_MB = 64.0
+# The other descriptors are for links, calls to executors, and files.
+CONNECTION_DESCRIPTORS_SHARE = 0.5
 # What can be sent in an Authorization header without being changed.
 _TOKEN = re.compile(r"[!-~]*")
 
@@ -37,6 +48,10 @@
         has effect, seconds; 0 where evacuations aren't used
     :ivar metrics_port: port that serves metrics as text, and operators'
         requests on control hosts, 0 for none
+    :ivar memory_mb: memory that this process may use
+    :ivar max_descriptors: number of descriptors that it may have open
+    :ivar connection_memory_mb: memory of all client connections together
+    :ivar max_connections: number of client connections
     :ivar operator_token: bearer token of operators' orders, empty to accept
         none
     """
@@ -57,6 +72,10 @@
     stop_s: float
     heartbeat_s: float
     metrics_port: int
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
+    connection_memory_mb: float = 0.0
+    max_connections: int = 0
     evacuation_s: float = 0.0
     resend_s: float = DEFAULT_RESEND_S
     operator_token: str = ""
@@ -66,6 +85,24 @@
         """The executors' limits for leases."""
         return leases.LeaseLimits(self.max_lease_s, self.stop_s)
 
+    @property
+    def connection_limits(self) -> connbudget.Limits:
+        """What client connections may hold together."""
+        memory_mb = self.memory_mb or _machine_memory_mb()
+        kept_mb = self.connection_memory_mb or min(
+            MAX_CONNECTION_MEMORY_MB, CONNECTION_MEMORY_SHARE * memory_mb
+        )
+        kept_bytes = int(kept_mb * BYTES_PER_MB)
+        descriptors = self.max_descriptors or _descriptor_limit()
+        default = min(
+            descriptors * CONNECTION_DESCRIPTORS_SHARE,
+            # Half of the memory, so that connections alone never fill it.
+            kept_bytes / connbudget.CONNECTION_BYTES / 2,
+        )
+        return connbudget.Limits(
+            kept_bytes, self.max_connections or max(1, int(default))
+        )
+
     @property
     def id(self) -> ids.InstanceId:
         """The name of this process on links."""
@@ -112,10 +149,24 @@
         metrics_port=reader.get("metrics_port", int, 0),
         resend_s=reader.number("resend_ms", 1000 * DEFAULT_RESEND_S) / 1000,
         evacuation_s=reader.number("evacuation_ms", 0.0) / 1000,
+        memory_mb=reader.number("memory_mb", 0.0),
+        max_descriptors=reader.natural("max_descriptors"),
+        connection_memory_mb=reader.number("connection_memory_mb", 0.0),
+        max_connections=reader.natural("max_connections"),
         operator_token=reader.token("operator_token"),
     )
 
 
+def _machine_memory_mb() -> float:
+    pages = os.sysconf("SC_PHYS_PAGES")
+    return pages * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
+
+
+def _descriptor_limit() -> int:
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if soft == resource.RLIM_INFINITY else soft
+
+
 class _Reader:
     """Reads values of a TOML table and checks their types."""
 
@@ -146,6 +197,16 @@
             )
         return value
 
+    def natural(self, key: str) -> int:
+        """Return a number that may be 0, which is the default."""
+        value = self.get(key, int, 0)
+        if value < 0:
+            raise errors.InvalidSettings(
+                f"{self._path}: {key}: got {value}, a non-negative number is "
+                "required"
+            )
+        return value
+
     def number(self, key: str, default: float) -> float:
         value = self._table.get(key, default)
         is_number = isinstance(value, int | float)
--- a/chervilwheel/control/runtime.py
+++ b/chervilwheel/control/runtime.py
@@ -13,6 +13,7 @@
 
 from chervilwheel import addresses
 from chervilwheel import clock
+from chervilwheel import connbudget
 from chervilwheel import errors
 from chervilwheel import guard
 from chervilwheel import ids
@@ -41,6 +42,7 @@
     """The event loop with its streams, timers, links and signals.
 
     :param cfg: settings of this process
+    :ivar connections: bounds what client connections hold together
     :ivar on_operator_request: handles the requests on the metrics port that
         are not for the metrics
     """
@@ -59,6 +61,9 @@
         self.loop = streams.StreamLoop(
             clk=self.heap.clock, load=self._load
         ).register(self)
+        self.connections = connbudget.ConnectionBudget(
+            limits=cfg.connection_limits
+        )
         timers.TimerLoop(
             heap=self.heap, polled_at=self.loop.polled_at
         ).register(self)
@@ -121,6 +126,11 @@
             "peer_received_", lambda: links.received_by_kind
         )
         self.metrics.register("cpu_s", time.process_time)
+        held = self.connections
+        self.metrics.register("connections", lambda: len(held))
+        self.metrics.register("connection_bytes", lambda: held.bytes)
+        self.metrics.register("connections_evicted", lambda: held.evicted)
+        self.metrics.register("connections_refused", lambda: held.refused)
 
     def _log_load(self) -> None:
         load = self._load.report()
@@ -151,6 +161,7 @@
             limits=METRICS_LIMITS,
             timeouts=server.Timeouts(),
             handler=self._handle_request,
+            budget=self.connections,
         )
         address = addresses.Address(self.cfg.host, self.cfg.metrics_port)
         front.listen(address)
--- a/chervilwheel/guard.py
+++ b/chervilwheel/guard.py
@@ -120,6 +120,16 @@
             head = self._head_kept_bytes + self._trailer_bytes
         return REQUEST_BYTES + head + sys.getsizeof(self._body)
 
+    @property
+    def target(self) -> tuple[str, str] | None:
+        """Method and target of the request that was partly received.
+
+        None before its head is complete.
+        """
+        if not self._in_body:
+            return None
+        return self._method, self._url.decode("latin-1")
+
     def discard(self) -> None:
         """Free what was received; nothing more is parsed.
 
@@ -194,6 +204,7 @@
     def on_headers_complete(self) -> None:
         """Validate the request head; called by the parser."""
         self._in_body = True
+        self._method = self._parser.get_method().decode("latin-1")
         self._head_kept_bytes = len(self._url) + sum(
             HEADER_BYTES + len(name) + len(value)
             for name, value in self._headers
@@ -226,6 +237,7 @@
         self._first_bytes = 0
         self._head_kept_bytes = 0
         self._trailer_bytes = 0
+        self._method = ""
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
--- a/chervilwheel/http/server.py
+++ b/chervilwheel/http/server.py
@@ -8,8 +8,10 @@
 import typing
 
 from chervilwheel import addresses
+from chervilwheel import connbudget
 from chervilwheel import errors
 from chervilwheel import guard
+from chervilwheel import loglimit
 from chervilwheel import problems
 from chervilwheel import streams
 from chervilwheel import timers
@@ -23,6 +25,7 @@
 TIMEOUT_CHECK_INTERVAL_S = 0.5
 # For the client to read the last response and to disconnect.
 CLOSING_S = 1.0
+RETRY_AFTER_S = 1
 
 
 class Response(typing.NamedTuple):
@@ -34,6 +37,10 @@
     content_type: str = "application/json"
 
 
+# The request was not passed on, so that nothing of it has run or will.
+BUSY = Response(503, headers=(("Retry-After", str(RETRY_AFTER_S)),))
+
+
 def error_response(exc: errors.ChervilwheelError) -> Response:
     """Return an error response with problem details (RFC 9457)."""
     problem = problems.describe(exc)
@@ -83,8 +90,20 @@
         self.has_responded = True
         self._conn.finish_exchange(response)
 
+    def release_body(self, kept_bytes: int) -> None:
+        """Drop the body, which the handler has decoded.
+
+        :param kept_bytes: approximate memory that serving the request takes
+            from now on
+        """
+        if not self.has_responded:
+            self.request = self.request._replace(body=b"")
+            self._conn.keep(kept_bytes)
+
 
 Handler = typing.Callable[[Exchange], None]
+# Receives method and target of a request.
+MayRefuse = typing.Callable[[str, str], bool]
 
 
 class HttpServer:
@@ -95,6 +114,11 @@
     :param limits: size limits of one request
     :param timeouts: time limits of a connection
     :param handler: responds to a request, immediately or later
+    :param budget: bounds what the connections of this process hold together
+    :param work_factor: memory that serving a request takes beside it, as a
+        multiple of its body
+    :ivar may_refuse: whether a request that there is no room for may be
+        answered that it wasn't run; if not, its connection is closed
     """
 
     def __init__(
@@ -105,12 +129,18 @@
         limits: guard.Limits,
         timeouts: Timeouts,
         handler: Handler,
+        budget: connbudget.ConnectionBudget,
+        work_factor: int = 1,
     ) -> None:
         self.heap = heap
         self.limits = limits
         self.timeouts = timeouts
         self.handler = handler
+        self.budget = budget
+        self.work_factor = work_factor
+        self.may_refuse: MayRefuse = lambda _method, _target: True
         self.is_closing = False
+        self._log = loglimit.LimitedLog(log=_LOG, clk=heap.clock)
         self._loop = loop
         self._conns: set[_Conn] = set()
         self._listeners: list[socket.socket] = []
@@ -158,6 +188,10 @@
             )
             exchange.respond(Response(500))
 
+    def log_rejection(self, detail: str) -> None:
+        """Log that a request was rejected, unless many are."""
+        self._log.info("http: request rejected", detail=detail)
+
     def _accept(self, stream: streams.Stream) -> None:
         self._conns.add(_Conn(server=self, stream=stream))
 
@@ -179,6 +213,7 @@
         )
         self._queued_bytes = 0
         self._exchange: Exchange | None = None
+        self._exchange_bytes = 0
         self._waiting_since = server.heap.clock.now()
         self._unsent_bytes = 0
         self._keep_alive = True
@@ -188,6 +223,7 @@
         stream.on_data = self._on_data
         stream.on_closed = self._on_closed
         stream.on_sent = self._on_sent
+        self._holding = server.budget.open(self._give_way)
 
     @property
     def is_busy(self) -> bool:
@@ -227,6 +263,11 @@
         elif waited_s > timeouts.request_s:
             self._reject(guard.Status.TIMEOUT, "request timeout")
 
+    def keep(self, size: int) -> None:
+        """Record what the request in progress makes the process keep."""
+        self._exchange_bytes = size
+        self._account()
+
     def finish_exchange(self, response: Response) -> None:
         """Send the response to the current request."""
         self._exchange = None
@@ -239,6 +280,38 @@
             self._server.heap.call_later(0.0, self._process_queue)
         elif not self._stream.unsent_bytes:
             self._stream.resume_reading()
+        self._account()
+
+    def _account(self) -> None:
+        """Report what this connection holds and waits for."""
+        if self._stream.is_closed:
+            return
+        size = self._queued_bytes + self._parser.kept_bytes
+        size += self._stream.unsent_bytes
+        if self._exchange is not None:
+            size += self._exchange_bytes
+        self._server.budget.update(self._holding, size, self._phase())
+        if self._exchange is not None and self._server.budget.is_full:
+            self._drop_queue()
+
+    def _phase(self) -> connbudget.Phase:
+        if self._is_closing:
+            return connbudget.Phase.CLOSING
+        if self._exchange is not None:
+            return connbudget.Phase.SERVING
+        if self._stream.unsent_bytes:
+            return connbudget.Phase.SENDING
+        if self._queued or self._parser.is_partial:
+            return connbudget.Phase.RECEIVING
+        return connbudget.Phase.IDLE
+
+    def _drop_queue(self) -> None:
+        """Close after the current response; drop the requests behind it."""
+        if self._queued or self._parser.is_partial:
+            self._keep_alive = False
+            self._has_unread = True
+            self._clear()
+            self._account()
 
     def _clear(self) -> None:
         """Free what was received but isn't being served."""
@@ -246,6 +319,18 @@
         self._queued.clear()
         self._queued_bytes = 0
 
+    def _give_way(self) -> None:
+        """Close this connection, since others need its room."""
+        target = self._parser.target
+        if self._is_closing or not self._parser.is_partial:
+            self.close()
+        elif target is None:
+            self._reject(guard.Status.TIMEOUT, "no room for the request")
+        elif self._server.may_refuse(*target):
+            self._reject(guard.Status.BUSY, "no room for the request")
+        else:
+            self.close()
+
     def _close_when_sent(self) -> None:
         """Close once the response is sent and the client can't lose it.
 
@@ -263,6 +348,7 @@
     def _on_sent(self) -> None:
         if not self._is_closing:
             self._process_queue()
+            self._account()
         elif self._has_unread:
             self._waiting_since = self._server.heap.clock.now()
             self._stream.end_sending()
@@ -283,6 +369,7 @@
             self.close()
             return
         self._process_queue()
+        self._account()
         self._pause_if_ahead()
 
     def _pause_if_ahead(self) -> None:
@@ -308,20 +395,36 @@
                 self._reject(item.status, item.detail)
                 return
             elif isinstance(item, guard.Request):
-                self._keep_alive = item.keep_alive
-                exchange = Exchange(request=item, conn=self)
-                self._exchange = exchange
-                self._server.handle(exchange)
+                self._begin(item)
         if not self._is_closing and self._exchange is None:
             self._has_unread = False
             self._stream.resume_reading()
 
+    def _begin(self, request: guard.Request) -> None:
+        """Pass a request to the handler, if there is room to serve it."""
+        self._keep_alive = request.keep_alive
+        exchange = Exchange(request=request, conn=self)
+        self._exchange = exchange
+        self._exchange_bytes = (
+            request.kept_bytes + self._server.work_factor * len(request.body)
+        )
+        size = self._exchange_bytes + self._queued_bytes
+        if self._server.budget.begin_request(self._holding, size):
+            self._server.handle(exchange)
+        elif self._server.may_refuse(request.method, request.target):
+            exchange.respond(BUSY)
+        else:
+            self._exchange = None
+            self.close()
+
     def _reject(self, status: guard.Status, detail: str) -> None:
         code, _ = status.value
-        _LOG.info("http: request rejected", extra={"detail": detail})
+        self._server.log_rejection(detail)
         self._keep_alive = False
         self._exchange = None
-        self.finish_exchange(Response(code))
+        self.finish_exchange(
+            BUSY if status is guard.Status.BUSY else Response(code)
+        )
 
     def _on_closed(self) -> None:
         exchange, self._exchange = self._exchange, None
@@ -334,6 +437,7 @@
     def _release(self) -> None:
         """Free what a closed connection holds, without a collection."""
         self._server.remove(self)
+        self._server.budget.close(self._holding)
         self._clear()
         self._stream.on_data = self._stream.on_closed = None
         self._stream.on_sent = None
--- a/chervilwheel/loglimit.py
+++ b/chervilwheel/loglimit.py
@@ -7,11 +7,11 @@
 
 
 class LimitedLog:
-    """Logs at most one warning per interval and counts those left out.
+    """Logs at most one record per interval and counts those left out.
 
     :param log: the logger
     :param clk: the clock
-    :param interval_s: minimum time between two warnings, seconds
+    :param interval_s: minimum time between two records, seconds
     """
 
     def __init__(
@@ -25,10 +25,17 @@
 
     def warning(self, text: str, **fields: typing.Any) -> None:
         """Log a warning with fields unless the last one is too recent."""
+        self._record(logging.WARNING, text, fields)
+
+    def info(self, text: str, **fields: typing.Any) -> None:
+        """Log what is no problem, with fields, likewise."""
+        self._record(logging.INFO, text, fields)
+
+    def _record(self, level: int, text: str, fields: dict) -> None:
         now = self._clock.now()
         if now < self._next_at:
             self._omitted += 1
             return
         self._next_at = now + self._interval_s
-        self._log.warning(text, extra={**fields, "omitted": self._omitted})
+        self._log.log(level, text, extra={**fields, "omitted": self._omitted})
         self._omitted = 0
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -1,6 +1,7 @@
 """Data types for jobs, their tasks, and the orders sent to executors."""
 
 import enum
+import sys
 import typing
 
 from chervilwheel import addresses
@@ -108,6 +109,12 @@
         return self.step, self.index
 
 
+# Objects of a job and of one of its steps.
+JOB_BYTES = 2_048
+STEP_BYTES = 512
+DEPENDENCY_BYTES = 8
+
+
 class Job(typing.NamedTuple):
     """A job, which is answered once it has ended.
 
@@ -155,6 +162,21 @@
     former_silent_ms: int = 0
     former_standbys: tuple[ids.InstanceId, ...] = ()
 
+    @property
+    def kept_bytes(self) -> int:
+        """Approximate memory of the job."""
+        return (
+            JOB_BYTES
+            + sys.getsizeof(self.spec)
+            + sum(
+                STEP_BYTES
+                + DEPENDENCY_BYTES * len(step.depends_on)
+                + sys.getsizeof(step.required_label)
+                + sys.getsizeof(step.preferred_rack)
+                for step in self.steps
+            )
+        )
+
     @property
     def critical_path_s(self) -> float:
         """Estimated duration of its critical path, seconds."""
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -160,6 +160,9 @@
         self.responses = []
         self.on_disconnect = None
 
+    def release_body(self, _kept_bytes):
+        """Nothing is kept."""
+
     @property
     def has_responded(self):
         """Whether there is a response."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -179,6 +179,29 @@
         cfg = self.load("evacuation_ms = 5000" + self.VALID)
         self.assertEqual(5.0, cfg.evacuation_s)
 
+    def test_the_limits_of_connections_follow_from_the_machine(self):
+        text = "memory_mb = 160\nmax_descriptors = 1638\n"
+        limits = self.load(text + self.VALID).connection_limits
+        self.assertEqual(40 * 1024 * 1024, limits.bytes)
+        self.assertEqual(819, limits.connections)
+        limits = self.load("memory_mb = 8000\n" + self.VALID)
+        self.assertEqual(64 * 1024 * 1024, limits.connection_limits.bytes)
+        limits = self.load(self.VALID).connection_limits
+        self.assertGreater(limits.bytes, 0)
+        self.assertGreater(limits.connections, 0)
+
+    def test_the_limits_of_connections_can_be_set(self):
+        text = "connection_memory_mb = 2.5\nmax_connections = 7\n"
+        limits = self.load(text + self.VALID).connection_limits
+        self.assertEqual((int(2.5 * 1024 * 1024), 7), limits)
+        for key in ("max_connections", "max_descriptors", "memory_mb"):
+            for value in ("-1", '"5"', "true"):
+                self.assertRaises(
+                    errors.InvalidSettings,
+                    self.load,
+                    f"{key} = {value}\n" + self.VALID,
+                )
+
     def test_the_operator_token_is_empty_by_default(self):
         self.assertEqual("", self.load(self.VALID).operator_token)
         text = 'operator_token = "secret+/="\n' + self.VALID
--- a/tests/test_entrydrain.py
+++ b/tests/test_entrydrain.py
@@ -3,6 +3,7 @@
 import json
 
 from chervilwheel import addresses
+from chervilwheel import connbudget
 from chervilwheel import guard
 from chervilwheel.control import entrydrain
 from chervilwheel.http import server
@@ -89,6 +90,9 @@
             limits=LIMITS,
             timeouts=server.Timeouts(),
             handler=self._api.handle,
+            budget=connbudget.ConnectionBudget(
+                limits=connbudget.Limits(bytes=2**24, connections=1_000)
+            ),
         )
         self.server.listen(FRONT)
         self.drain = entrydrain.EntryDrain(
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -151,6 +151,7 @@
         self.assertGreater(parser.kept_bytes, 1_000)
         parser.feed(b"\r\nContent-Length: 4000\r\n\r\n" + b"z" * 3_000)
         self.assertGreater(parser.kept_bytes, 4_000)
+        self.assertEqual(("POST", "/"), parser.target)
         parser.discard()
         self.assertEqual(0, parser.kept_bytes)
         self.assertEqual([], parser.feed(b"z" * 1_000))
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -13,6 +13,7 @@
 
 from chervilwheel import addresses
 from chervilwheel import clock
+from chervilwheel import connbudget
 from chervilwheel import guard
 from chervilwheel import streams
 from chervilwheel import timers
@@ -45,12 +46,16 @@
         self.app = _App()
         self.addCleanup(self.app.loop.close)
         self.exchanges = []
+        self.budget = connbudget.ConnectionBudget(
+            limits=connbudget.Limits(bytes=2**20, connections=8)
+        )
         self.server = http_server.HttpServer(
             loop=self.app.loop,
             heap=self.app.heap,
             limits=guard.Limits(header_bytes=2048, body_bytes=4096),
             timeouts=http_server.Timeouts(request_s=0.3, idle_s=30.0),
             handler=self.handle,
+            budget=self.budget,
         )
         with socket.socket() as probe:
             probe.bind((HOST, 0))
@@ -171,12 +176,54 @@
         received = self.read_to_end(sock)
         self.assertIn(b" 413 ", received.split(b"\r\n")[0])
         sock.close()
-        self.tick_until(lambda: not self.server._conns)
+        self.tick_until(lambda: not len(self.budget))
 
     def test_a_refused_client_that_stays_is_disconnected(self):
         sock = self.open_and_send(b"not http\r\n\r\n" * 9)
         self.assertIn(b" 400 ", self.read_to_end(sock))
-        self.tick_until(lambda: not self.server._conns)
+        self.tick_until(lambda: not len(self.budget))
+
+    def test_an_incomplete_request_gives_way_with_a_refusal(self):
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n"
+        first = self.open_and_send(head)
+        self.tick_until(lambda: len(self.budget) == 1)
+        others = [self.open_and_send(b"GET") for _ in range(8)]
+        received = self.read_to_end(first)
+        self.assertIn(b" 503 ", received.split(b"\r\n")[0])
+        self.assertIn(b"Retry-After: 1\r\n", received)
+        # Without its head nothing is known of a request.
+        others.append(self.open_and_send(b"GET"))
+        received = self.read_to_end(others[0])
+        self.assertIn(b" 408 ", received.split(b"\r\n")[0])
+
+    def test_no_refusal_says_not_run_of_a_request_that_may_run(self):
+        seen = []
+        self.server.may_refuse = lambda *target: seen.append(target)
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n"
+        first = self.open_and_send(head)
+        self.tick_until(lambda: len(self.budget) == 1)
+        others = [self.open_and_send(b"GET") for _ in range(8)]
+        self.assertEqual(b"", self.read_to_end(first))
+        self.assertEqual([("POST", "/a")], seen)
+        self.assertEqual(8, len(others))
+
+    def test_a_request_beyond_those_in_progress_is_refused(self):
+        self.is_response_delayed = True
+        request = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+        socks = [self.open_and_send(request) for _ in range(6)]
+        self.tick_until(lambda: len(self.exchanges) == 6)
+        last = self.open_and_send(request)
+        self.tick_until(lambda: select.select([last], [], [], 0)[0])
+        received = last.recv(1_000)
+        self.assertIn(b" 503 ", received.split(b"\r\n")[0])
+        self.assertNotIn(b"Connection: close", received)
+        for exchange in self.exchanges:
+            exchange.respond(http_server.Response(200))
+        self.is_response_delayed = False
+        last.send(request)
+        self.tick_until(lambda: select.select([last], [], [], 0)[0])
+        self.assertIn(b" 200 ", last.recv(1_000))
+        self.assertEqual(6, len(socks))
 
     def test_little_is_read_behind_a_request_in_progress(self):
         self.is_response_delayed = True
@@ -187,11 +234,16 @@
         sent = 0
         for _ in range(50):
             with contextlib.suppress(BlockingIOError):
-                sent += sock.send(request * 4)
+                sent += sock.send(request * 10)
             self.app.tick(timeout=0.001)
-        (conn,) = self.server._conns
-        held = conn._queued_bytes + conn._parser.kept_bytes
-        self.assertLess(held, 3 * http_server.MAX_PIPELINED_BYTES)
+        held = self.budget.bytes
+        self.assertLess(
+            held,
+            connbudget.CONNECTION_BYTES
+            + streams.CLIENT_READ_BYTES
+            + 2 * http_server.MAX_PIPELINED_BYTES
+            + 3 * 4096,
+        )
         self.assertGreater(sent, 2 * held)
 
     def test_pipelined_requests_continue_after_a_pause(self):
@@ -210,6 +262,9 @@
 
     def test_responses_wait_for_a_client_that_does_not_read(self):
         body = b"x" * 2_000_000
+        self.server.budget = connbudget.ConnectionBudget(
+            limits=connbudget.Limits(bytes=2**26, connections=8)
+        )
 
         def handle(exchange):
             self.exchanges.append(exchange)
@@ -224,8 +279,7 @@
         for _ in range(100):
             self.app.tick(timeout=0.001)
         self.assertLess(len(self.exchanges), 12)
-        (conn,) = self.server._conns
-        self.assertLess(conn._stream.unsent_bytes, 2 * len(body))
+        self.assertLess(self.server.budget.bytes, 2 * len(body))
         # It is served on once it reads.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2_000_000)
         sock.setblocking(False)
@@ -238,6 +292,16 @@
 
         self.tick_until(is_served)
 
+    def test_a_decoded_body_is_dropped(self):
+        self.is_response_delayed = True
+        request = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4096\r\n\r\n"
+        self.open_and_send(request + b"x" * 4096)
+        self.tick_until(lambda: self.exchanges)
+        held = self.budget.bytes
+        self.exchanges[0].release_body(100)
+        self.assertEqual(b"", self.exchanges[0].request.body)
+        self.assertLess(self.budget.bytes, held - 4096)
+
     def test_a_closed_connection_is_freed_without_a_collection(self):
         gc.disable()
         self.addCleanup(gc.enable)
@@ -258,7 +322,7 @@
         self.tick_until(lambda: refs)
         self.app.tick(timeout=0.01)
         sock.close()
-        self.tick_until(lambda: not self.server._conns)
+        self.tick_until(lambda: not len(self.budget))
         self.app.tick(timeout=0.01)
         self.assertEqual([None, None], [ref() for ref in refs])
 
--- a/tests/test_operatorport.py
+++ b/tests/test_operatorport.py
@@ -436,6 +436,7 @@
             handler=operatorport.OperatorPort(
                 cfg=self.node.cfg, control=zones
             ).handle,
+            budget=self.node.connections,
         )
         front.listen(addresses.Address(OTHER_HOST, self.port))
 
