--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -260,6 +260,23 @@
             data = json.dumps(replace_value(CONFIG, path, value)).encode()
             self.assertRaises(errors.InvalidSettings, decoder.decode, data)
 
+    def test_a_text_that_would_take_much_memory_is_rejected(self):
+        size = 4 * 1024 * 1024
+        for value in (b"[],", b"{},", b'{"a":0},', b"[[0]],", b"0,"):
+            data = b'{"a":[' + value * (size // len(value)) + b"0]}"
+            self.assertRaises(errors.InvalidRequest, wirejson.parse, data)
+        route = CONFIG["routes"][0]
+        config = dict(CONFIG)
+        count = size // len(json.dumps(route, separators=(",", ":")))
+        config["routes"] = [
+            dict(route, pathPrefix=f"/{number:05}/")
+            for number in range(count - 100)
+        ]
+        data = wirejson.dump(config)
+        self.assertGreater(len(data), 0.95 * size)
+        document = wireconfig.ConfigDecoder().decode(data)
+        self.assertEqual(count - 100, len(document.queues))
+
     def test_a_heartbeat_decodes(self):
         report = controlapi.decode_report(
             "i-1", json.dumps(HEARTBEAT).encode()
