Let a client give way when descriptors run out

What callers saw: nothing yet; found while reading how connections are accepted. When descriptors run out, accepting fails in every turn of the loop and logs a warning each time, since the listening socket stays readable; new callers wait until another connection ends by itself. Opening a connection to another host or an executor fails with an exception.

Change: the client connection that can go first is closed, and the pending one is accepted with the next turn, or the outgoing one opened at once.

Evidence: two new tests, with the limit of descriptors at those in use; before the change the caller isn't answered and connect raises OSError.

--- a/chervilwheel/connbudget.py
+++ b/chervilwheel/connbudget.py
@@ -159,6 +159,13 @@
             # The connection refers to its holding, too.
             holding.give_way = _do_nothing
 
+    def free_descriptor(self) -> None:
+        """Close the connection that can go first, if there is any."""
+        for rank in _EVICTABLE:
+            if self._ranks[rank]:
+                self._close_first(rank)
+                return
+
     def _make_room(self) -> None:
         """Let connections give way to one more."""
         limit = self.limits.connections
--- a/chervilwheel/control/runtime.py
+++ b/chervilwheel/control/runtime.py
@@ -64,6 +64,7 @@
         self.connections = connbudget.ConnectionBudget(
             limits=cfg.connection_limits
         )
+        self.loop.on_exhausted = self.connections.free_descriptor
         timers.TimerLoop(
             heap=self.heap, polled_at=self.loop.polled_at
         ).register(self)
--- a/chervilwheel/streams.py
+++ b/chervilwheel/streams.py
@@ -1,6 +1,7 @@
 """Non-blocking TCP streams on the circuits poller."""
 
 import errno
+import itertools
 import logging
 import socket
 import typing
@@ -10,6 +11,7 @@
 
 from chervilwheel import addresses
 from chervilwheel import clock
+from chervilwheel import loglimit
 from chervilwheel import loopload
 
 _LOG = logging.getLogger("streams")
@@ -21,6 +23,7 @@
 CLIENT_TURN_BYTES = 262_144
 SEND_BYTES = 262_144
 BACKLOG = 512
+_EXHAUSTED_ERRNOS = (errno.EMFILE, errno.ENFILE)
 _CONNECT_PENDING_ERRNOS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EAGAIN)
 
 
@@ -197,6 +200,8 @@
 
     :param clk: the runtime's clock
     :param load: measures the turns of the loop, None to measure nothing
+    :ivar on_exhausted: called when a connection can't be accepted or opened
+        for want of descriptors
     """
 
     channel = "streams"
@@ -209,10 +214,12 @@
         self._streams: dict[socket.socket, Stream] = {}
         self._listeners: dict[socket.socket, AcceptCallback] = {}
         self._client_listeners: set[socket.socket] = set()
+        self._warnings = loglimit.LimitedLog(log=_LOG, clk=clk)
         # Clients with data to read, the one that has waited longest first.
         self._readable: dict[Stream, None] = {}
         self._turn = 0
         self._client_bytes = 0
+        self.on_exhausted: typing.Callable[[], None] = lambda: None
 
     def polled_at(self) -> float:
         """Return when the last poll ended, seconds.
@@ -224,7 +231,7 @@
 
     def connect(self, address: addresses.Address) -> Stream:
         """Start to connect; ``on_open`` or ``on_closed`` is called later."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = self._open_socket()
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = Stream(loop=self, sock=sock, is_open=False)
@@ -285,6 +292,16 @@
         for sock in list(self._listeners):
             self._close_listener(sock)
 
+    def _open_socket(self) -> socket.socket:
+        """Open a socket; a client gives way if there is no descriptor."""
+        try:
+            return socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as exc:
+            if exc.errno not in _EXHAUSTED_ERRNOS:
+                raise
+            self.on_exhausted()
+            return socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+
     def _close_listener(self, sock: socket.socket) -> None:
         self._client_listeners.discard(sock)
         if self._listeners.pop(sock, None) is not None:
@@ -366,15 +383,19 @@
     def _accept_all(
         self, sock: socket.socket, acceptor: AcceptCallback
     ) -> None:
-        while True:
+        for number in itertools.count():
             try:
                 accepted, _ = sock.accept()
             except BlockingIOError:
                 return
             except OSError as exc:
-                _LOG.warning(
-                    "streams: accept failed", extra={"error": str(exc)}
+                self._warnings.warning(
+                    "streams: accept failed", error=str(exc)
                 )
+                # The first attempt; a further one fails like that even if no
+                # other connection waits.
+                if exc.errno in _EXHAUSTED_ERRNOS and not number:
+                    self.on_exhausted()
                 return
             accepted.setblocking(False)
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import gc
+import os
+import resource
 import select
 import socket
 import threading
@@ -326,6 +328,39 @@
         self.app.tick(timeout=0.01)
         self.assertEqual([None, None], [ref() for ref in refs])
 
+    def test_a_connection_is_closed_when_descriptors_run_out(self):
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        limits = (resource.RLIMIT_NOFILE, (soft, hard))
+        self.addCleanup(resource.setrlimit, *limits)
+        self.app.loop.on_exhausted = self.budget.free_descriptor
+        for _ in range(4):
+            self.open_and_send(b"")
+        self.tick_until(lambda: len(self.budget) == 4)
+        last = self.open_and_send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        free = os.dup(0)
+        os.close(free)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))
+        self.tick_until(lambda: select.select([last], [], [], 0)[0])
+        resource.setrlimit(*limits)
+        self.assertIn(b" 200 ", last.recv(1_000))
+        self.assertEqual(1, self.budget.evicted)
+
+    def test_a_client_gives_way_to_an_outgoing_connection(self):
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        limits = (resource.RLIMIT_NOFILE, (soft, hard))
+        self.addCleanup(resource.setrlimit, *limits)
+        self.app.loop.on_exhausted = self.budget.free_descriptor
+        for _ in range(4):
+            self.open_and_send(b"")
+        self.tick_until(lambda: len(self.budget) == 4)
+        free = os.dup(0)
+        os.close(free)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))
+        stream = self.app.loop.connect(self.address)
+        resource.setrlimit(*limits)
+        self.addCleanup(stream.close)
+        self.assertEqual(1, self.budget.evicted)
+
     def test_clients_never_keep_the_loop_for_long(self):
         turns = []
         read = []
