Apply the document's limits to callers' requests

What callers saw: an operator's limits of heads, bodies and time-outs were decoded and stored, and used nowhere. A caller could send 1 MiB where the configuration allows 256 KiB, with the memory of a body four times as large.

Cause: the server for callers had limits of its own, which nothing changed.

Change: an entry host applies them with each document that it applies, also to connections that are open; a request that has begun keeps its limits. The ports for executors, operators, readiness and metrics keep their own limits.

Clients inside the limits of the configuration meet nothing new.

--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -69,6 +69,7 @@
     :param node: event loop, timers and links
     :param decoder: parses operators' documents
     :param port: sends orders to executors while this host is the holder
+    :ivar on_document: called with each document that is applied
     """
 
     def __init__(
@@ -83,6 +84,9 @@
         self._decoder = decoder
         self.routes: routing.RouteTable | None = None
         self.drain = Drain.SERVING
+        self.on_document: typing.Callable[[documents.Document], None] = (
+            lambda _document: None
+        )
         self._start_wait = startwait.StartWait(heap=node.heap)
         self._control_hosts: set[ids.InstanceId] = set()
         self._me = node.cfg.id
@@ -706,5 +710,6 @@
             )
             return
         self.routes = routing.RouteTable(document=document)
+        self.on_document(document)
         _LOG.info("entry: document applied", extra={"version": push.version})
         self._start_wait.release()
--- a/chervilwheel/guard.py
+++ b/chervilwheel/guard.py
@@ -94,11 +94,12 @@
 class RequestNormalizer:
     """Split the byte stream of a connection into normalized requests.
 
-    :param limits: size limits of one request
+    :param limits: size limits of one request; they may be replaced between
+        two requests
     """
 
     def __init__(self, *, limits: Limits) -> None:
-        self._limits = limits
+        self.limits = limits
         self._parser = httptools.HttpRequestParser(self)
         self._results: list[FramingResult] = []
         self._is_rejected = False
@@ -151,7 +152,7 @@
             return []
         if data:
             self._is_started = True
-        limit = self._limits.header_bytes
+        limit = self.limits.header_bytes
         for start in range(0, len(data), limit):
             self._feed_chunk(data[start : start + limit])
             if self._is_rejected:
@@ -173,13 +174,13 @@
         if (
             self._is_started
             and not self._in_body
-            and self._head_bytes > self._limits.header_bytes
+            and self._head_bytes > self.limits.header_bytes
         ):
             self._reject(Status.HEAD_TOO_LARGE, "the head is too large")
         if was_in_body and self._in_body and len(self._body) == received:
             # Trailers, or extensions of a chunk: no part of the body.
             self._trailer_bytes += len(data)
-            if self._trailer_bytes > self._limits.header_bytes:
+            if self._trailer_bytes > self.limits.header_bytes:
                 self._reject(Status.HEAD_TOO_LARGE, "the trailers are large")
         else:
             self._trailer_bytes = 0
@@ -217,7 +218,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body; called by the parser."""
         self._body += body
-        if len(self._body) > self._limits.body_bytes:
+        if len(self._body) > self.limits.body_bytes:
             self._reject(Status.TOO_LARGE, "the body is too large")
             self._body.clear()
 
@@ -268,7 +269,7 @@
                 continue
             if not value.isdigit():
                 self._reject(Status.BAD_REQUEST, "the length is no number")
-            elif int(value) > self._limits.body_bytes:
+            elif int(value) > self.limits.body_bytes:
                 self._reject(Status.TOO_LARGE, "the body is too large")
 
     def _reject(self, status: Status, detail: str) -> None:
--- a/chervilwheel/http/server.py
+++ b/chervilwheel/http/server.py
@@ -55,11 +55,13 @@
 class Timeouts(typing.NamedTuple):
     """Time limits of a connection, seconds.
 
-    :ivar request_s: maximum time to receive a request
+    :ivar head_s: maximum time to receive the head of a request
+    :ivar request_s: maximum time to receive all of it
     :ivar idle_s: maximum time without a request, or without any progress in
         sending a response
     """
 
+    head_s: float = 3.0
     request_s: float = 3.0
     idle_s: float = 15.0
 
@@ -260,7 +262,9 @@
         elif unsent or not self._parser.is_partial:
             if waited_s > timeouts.idle_s:
                 self.close()
-        elif waited_s > timeouts.request_s:
+        elif waited_s > timeouts.request_s or (
+            waited_s > timeouts.head_s and self._parser.target is None
+        ):
             self._reject(guard.Status.TIMEOUT, "request timeout")
 
     def keep(self, size: int) -> None:
@@ -362,6 +366,7 @@
             return
         if not self._parser.is_partial:
             self._waiting_since = self._server.heap.clock.now()
+            self._parser.limits = self._server.limits
         items = self._parser.feed(data)
         self._queued.extend(items)
         self._queued_bytes += sum(item.kept_bytes for item in items)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -337,3 +337,16 @@
         self.assertEqual(200, answer[0])
         self.check_entry()
         self.check_control()
+
+    def test_the_limit_of_the_document_applies_to_bodies(self):
+        config = copy.deepcopy(CONFIG) | {"version": 2}
+        config["limits"]["maxBodyBytes"] = 100_000
+        address = self.deployment.control(self.control)
+        answer = test_workerpath.call(address, "POST", CONTROL_PATH, config)
+        self.assertEqual(200, answer[0])
+        large = job(padding=100_000)
+        test_workerpath.wait_until(
+            self, self.deployment, lambda: self.submit(large)[0] == 413
+        )
+        self.assertEqual(200, self.submit(job(padding=90_000))[0])
+        self.check_entry()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -381,6 +381,19 @@
         self.assertLess(max(turns), most)
         self.assertGreater(sum(read), most)
 
+    def test_new_limits_apply_from_the_next_request_on(self):
+        head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n"
+        sock = self.open_and_send(head)
+        self.tick_until(lambda: len(self.budget) == 1)
+        self.app.tick(timeout=0.01)
+        self.server.limits = guard.Limits(header_bytes=2048, body_bytes=50)
+        sock.send(b"x" * 100)
+        self.tick_until(lambda: select.select([sock], [], [], 0)[0])
+        self.assertIn(b" 200 ", sock.recv(1_000))
+        sock.send(head)
+        self.tick_until(lambda: select.select([sock], [], [], 0)[0])
+        self.assertIn(b" 413 ", sock.recv(1_000))
+
     def test_client_disconnect_is_reported(self):
         self.is_response_delayed = True
         sock = socket.create_connection(self.address)
