Give the daemon's instances the same account of connections

What callers saw: an instance of the daemon keeps what callers send, too. 200 bodies that stop a byte short of 1 MiB took it to 252 to 276 MB (whole, in chunks, from clients that disconnect), where the smallest machine has 160. With 2,000 connections that send nothing it answered 503 to everyone else.

Cause: the same as on control and entry hosts: limits for one connection, none for their sum, and garbage that waits for a collection. Beyond the number of connections the newcomer was refused.

Change: its front end reports to an account like theirs. Idle and incomplete connections give way to newcomers; limits.connections is the limit of the account, limits.connection_memory_mb a new setting. The defaults are worked out in connbudget for both.

Responses that nobody reads are in the web library's buffers and still aren't counted there, and a refused client isn't waited for.

The tests wait until the memory of the process no longer grows, also those of the other processes: what the kernel holds may not have been read yet.

--- a/chervilwheel/config.py
+++ b/chervilwheel/config.py
@@ -164,6 +164,14 @@
     connections: int = _opt(
         2000, doc="Maximum number of caller connections.", low=1, high=100_000
     )
+    connection_memory_mb: float = _opt(
+        0.0,
+        doc="Maximum memory of all caller connections together; 0 for a "
+        "quarter of the machine's memory, 64 MB at most.",
+        unit="MB",
+        low=0.0,
+        high=65_536.0,
+    )
     answer_bytes: int = _opt(
         1_048_576,
         doc="Maximum size of one task's response.",
--- a/chervilwheel/connbudget.py
+++ b/chervilwheel/connbudget.py
@@ -8,6 +8,9 @@
 
 import enum
 import itertools
+import os
+import resource
+import sys
 import typing
 
 # Objects and socket buffers of a connection.
@@ -20,6 +23,15 @@
 CLOSING_SHARE = 1 / 16
 
 
+BYTES_PER_MB = 1024 * 1024
+# Client connections get a share of the process's memory. The rest is for its
+# state, and for decoding one request.
+MEMORY_SHARE = 0.25
+MAX_MEMORY_MB = 64.0
+# The other descriptors are for links, calls to executors, and files.
+DESCRIPTORS_SHARE = 0.5
+
+
 class Limits(typing.NamedTuple):
     """What the connections of a process may hold together."""
 
@@ -27,6 +39,42 @@
     connections: int
 
 
+def default_limits(
+    *,
+    memory_mb: float = 0.0,
+    descriptors: int = 0,
+    kept_mb: float = 0.0,
+    connections: int = 0,
+) -> Limits:
+    """Return the limits for a machine; 0 stands for what follows from it.
+
+    :param memory_mb: memory that the process may use
+    :param descriptors: number of descriptors that it may have open
+    :param kept_mb: memory of all connections together
+    :param connections: number of connections
+    """
+    kept_mb = kept_mb or min(
+        MAX_MEMORY_MB, MEMORY_SHARE * (memory_mb or _machine_memory_mb())
+    )
+    kept_bytes = int(kept_mb * BYTES_PER_MB)
+    default = min(
+        (descriptors or _descriptor_limit()) * DESCRIPTORS_SHARE,
+        # Half of the memory, so that connections alone never fill it.
+        kept_bytes / CONNECTION_BYTES / 2,
+    )
+    return Limits(kept_bytes, connections or max(1, int(default)))
+
+
+def _machine_memory_mb() -> float:
+    pages = os.sysconf("SC_PHYS_PAGES")
+    return pages * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
+
+
+def _descriptor_limit() -> int:
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if soft == resource.RLIM_INFINITY else soft
+
+
 class Phase(enum.Enum):
     """What a connection waits for.
 
--- a/chervilwheel/control/nodesettings.py
+++ b/chervilwheel/control/nodesettings.py
@@ -1,10 +1,7 @@
 """Settings of a control host or an entry host, loaded from TOML."""
 
-import os
 import pathlib
 import re
-import resource
-import sys
 import tomllib
 import typing
 
@@ -17,13 +14,6 @@
 _MISSING = object()
 # Refusals name the same time in Retry-After.
 DEFAULT_RESEND_S = 1.0
-BYTES_PER_MB = 1024 * 1024
-# Client connections get a share of the process's memory. The rest is for its
-# state, and for decoding one request.
-CONNECTION_MEMORY_SHARE = 0.25
-MAX_CONNECTION_MEMORY_MB = 64.0
-# The other descriptors are for links, calls to executors, and files.
-CONNECTION_DESCRIPTORS_SHARE = 0.5
 # What can be sent in an Authorization header without being changed.
 _TOKEN = re.compile(r"[!-~]*")
 
@@ -88,19 +78,11 @@
     @property
     def connection_limits(self) -> connbudget.Limits:
         """What client connections may hold together."""
-        memory_mb = self.memory_mb or _machine_memory_mb()
-        kept_mb = self.connection_memory_mb or min(
-            MAX_CONNECTION_MEMORY_MB, CONNECTION_MEMORY_SHARE * memory_mb
-        )
-        kept_bytes = int(kept_mb * BYTES_PER_MB)
-        descriptors = self.max_descriptors or _descriptor_limit()
-        default = min(
-            descriptors * CONNECTION_DESCRIPTORS_SHARE,
-            # Half of the memory, so that connections alone never fill it.
-            kept_bytes / connbudget.CONNECTION_BYTES / 2,
-        )
-        return connbudget.Limits(
-            kept_bytes, self.max_connections or max(1, int(default))
+        return connbudget.default_limits(
+            memory_mb=self.memory_mb,
+            descriptors=self.max_descriptors,
+            kept_mb=self.connection_memory_mb,
+            connections=self.max_connections,
         )
 
     @property
@@ -157,16 +139,6 @@
     )
 
 
-def _machine_memory_mb() -> float:
-    pages = os.sysconf("SC_PHYS_PAGES")
-    return pages * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
-
-
-def _descriptor_limit() -> int:
-    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return sys.maxsize if soft == resource.RLIM_INFINITY else soft
-
-
 class _Reader:
     """Reads values of a TOML table and checks their types."""
 
--- a/chervilwheel/daemon.py
+++ b/chervilwheel/daemon.py
@@ -17,6 +17,7 @@
 from chervilwheel import auth
 from chervilwheel import clock
 from chervilwheel import config
+from chervilwheel import connbudget
 from chervilwheel import disk
 from chervilwheel import drain
 from chervilwheel import edge
@@ -218,7 +219,7 @@
             limits=guard.Limits(limits.header_bytes, limits.body_bytes),
             request_timeout_s=limits.request_timeout_s,
             idle_timeout_s=limits.idle_timeout_s,
-            max_connections=limits.connections,
+            budget=self._open_budget(),
             clk=self._heap.clock,
         ).register(self)
         self._heap.call_every(
@@ -229,6 +230,20 @@
         servers.BaseServer(tuple(address), display_banner=False).register(self)
         return http_edge
 
+    def _open_budget(self) -> connbudget.ConnectionBudget:
+        budget = connbudget.ConnectionBudget(
+            limits=connbudget.default_limits(
+                kept_mb=self._cfg.limits.connection_memory_mb,
+                connections=self._cfg.limits.connections,
+            )
+        )
+        registry = self._registry
+        registry.register("connections", lambda: len(budget))
+        registry.register("connection_bytes", lambda: budget.bytes)
+        registry.register("connections_evicted", lambda: budget.evicted)
+        registry.register("connections_refused", lambda: budget.refused)
+        return budget
+
     def _add_metrics(self) -> None:
         links, gossip_socket = self._links, self._gossip
         self._registry.register("peer_bytes_sent", lambda: links.bytes_sent)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -6,6 +6,7 @@
 answered while the crowd stays connected.
 """
 
+import contextlib
 import copy
 import http.client
 import json
@@ -13,12 +14,15 @@
 import pathlib
 import select
 import socket
+import subprocess
+import sys
 import tempfile
 import time
 
 import pytest
 import testtools
 
+from loadtool import layout
 from loadtool import ports
 from tests import crowds
 from tests import test_workerpath
@@ -28,6 +32,8 @@
 # Limits of the processes, in their settings.
 ENTRY_MEMORY_MB = 112
 CONTROL_MEMORY_MB = 160
+# That of the smallest machine.
+INSTANCE_MEMORY_MB = 160
 MAX_DESCRIPTORS = 400
 MAX_BODY_BYTES = MIB
 JOB_PATH = "/q/00000000000c0de0"
@@ -55,6 +61,21 @@
     return crowds.request(target, headers, method=method) + body
 
 
+def peak_memory_mb(pid):
+    """Return the largest resident set that a process has had."""
+    text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    rows = dict(line.split(":", 1) for line in text.splitlines())
+    return int(rows["VmHWM"].split()[0]) / 1024
+
+
+def wait_until_steady(pid):
+    """Wait until the memory of a process has stopped growing."""
+    former = -1.0
+    while (peak := peak_memory_mb(pid)) > former + 1:
+        former = peak
+        time.sleep(STEADY_S)
+
+
 class Deployment(test_workerpath.Cluster):
     """Three control hosts, an entry host and workers, with limits."""
 
@@ -74,10 +95,7 @@
         return self.processes[host].pid
 
     def peak_memory_mb(self, host):
-        """Return the largest resident set that a process has had."""
-        text = pathlib.Path(f"/proc/{self.pid(host)}/status").read_text()
-        rows = dict(line.split(":", 1) for line in text.splitlines())
-        return int(rows["VmHWM"].split()[0]) / 1024
+        return peak_memory_mb(self.pid(host))
 
     def descriptors(self, host):
         return len(os.listdir(f"/proc/{self.pid(host)}/fd"))
@@ -128,14 +146,11 @@
         return crowd
 
     def wait_until_steady(self, host):
-        """Wait until the memory of a process has stopped growing."""
-        former = -1.0
-        while (peak := self.deployment.peak_memory_mb(host)) > former + 1:
-            former = peak
-            time.sleep(STEADY_S)
+        wait_until_steady(self.deployment.pid(host))
 
     def check(self, host, memory_mb):
         """Check what must hold while the crowd is connected."""
+        self.wait_until_steady(host)
         status, body = self.submit()
         self.assertEqual((200, b'{"state":"completed"}'), (status, body))
         for name, process in self.deployment.processes.items():
@@ -350,3 +365,72 @@
         )
         self.assertEqual(200, self.submit(job(padding=90_000))[0])
         self.check_entry()
+
+
+@pytest.mark.alone
+class InstanceCrowdTest(testtools.TestCase):
+    """Crowds at an instance of the daemon, with its default account."""
+
+    def setUp(self):
+        super().setUp()
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        plan = layout.Layout(entries=(1,), keepers=(), executors=(0,))
+        (node, *_) = layout.create_nodes(plan, pathlib.Path(folder))
+        layout.write_settings(plan, [node])
+        text = node.settings.read_text()
+        text = text.replace("[limits]", f"[limits]\nbody_bytes = {MIB}")
+        node.settings.write_text(text)
+        host, port = node.http.split(":")
+        self.address = (host, int(port))
+        self.process = subprocess.Popen(
+            [
+                sys.executable,
+                *("-m", "chervilwheel.daemon", "--settings"),
+                str(node.settings),
+            ],
+            stderr=subprocess.DEVNULL,
+        )
+        stack.callback(self.process.wait)
+        stack.callback(self.process.kill)
+        end = time.monotonic() + test_workerpath.TIMEOUT_S
+        while time.monotonic() < end:
+            with contextlib.suppress(OSError):
+                socket.create_connection(self.address, 1).close()
+                break
+            time.sleep(0.05)
+
+    def crowd(self):
+        crowd = crowds.Crowd(address=self.address)
+        self.addCleanup(crowd.close)
+        return crowd
+
+    def check(self):
+        wait_until_steady(self.process.pid)
+        answer = test_workerpath.call(self.address, "GET", "/v1/health")
+        self.assertEqual(200, answer[0])
+        self.assertIsNone(self.process.poll())
+        peak_mb = peak_memory_mb(self.process.pid)
+        self.assertLess(peak_mb, INSTANCE_MEMORY_MB)
+
+    def test_whole_bodies_that_stop_a_byte_short(self):
+        self.crowd().send(crowds.announced("/v1/jobs", MIB), count=200)
+        self.check()
+
+    def test_large_chunks_without_the_last_one(self):
+        self.crowd().send(crowds.chunked("/v1/jobs", MIB, 65_536), count=200)
+        self.check()
+
+    def test_bodies_of_clients_that_disconnect(self):
+        data = crowds.announced("/v1/jobs", MIB)
+        for _ in range(25):
+            crowd = self.crowd()
+            crowd.send(data, count=8)
+            crowd.close()
+        self.check()
+
+    def test_more_connections_than_there_may_be(self):
+        data = crowds.request("/v1/jobs", "")[:-2]
+        self.crowd().send(data, count=2_100)
+        self.check()
