--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -20,6 +20,7 @@
 from chervilwheel import streams
 from chervilwheel import timers
 from chervilwheel.http import client
+from chervilwheel.http import connection
 from chervilwheel.http import server as http_server
 
 HOST = "127.0.0.1"
@@ -243,7 +244,7 @@
             held,
             connbudget.CONNECTION_BYTES
             + streams.CLIENT_READ_BYTES
-            + 2 * http_server.MAX_PIPELINED_BYTES
+            + 2 * connection.MAX_PIPELINED_BYTES
             + 3 * 4096,
         )
         self.assertGreater(sent, 2 * held)
