Count the first part of a head that isn't complete

What callers saw: nothing; found while reading the change again. A connection that had sent up to 16 KiB of a head counted for 1 KiB beside its fixed amount, so that what all connections hold could exceed the account by 32 KiB for each: some 26 MB on the smallest machine, with 819 connections.

Cause: the size of the data in which a request begins was noted before it was parsed, and the beginning of the request reset it. The test of the guard was too weak to notice.

Change: it is noted after the parsing.

--- a/chervilwheel/guard.py
+++ b/chervilwheel/guard.py
@@ -163,7 +163,6 @@
 
     def _feed_chunk(self, data: bytes) -> None:
         self._head_bytes += len(data)
-        self._first_bytes = self._first_bytes or len(data)
         was_in_body, received = self._in_body, len(self._body)
         try:
             self._parser.feed_data(data)
@@ -171,6 +170,8 @@
             self._reject(Status.BAD_REQUEST, "upgrades are not offered")
         except httptools.HttpParserError as exc:
             self._reject(Status.BAD_REQUEST, f"not a valid request: {exc}")
+        # A request that begins resets it.
+        self._first_bytes = self._first_bytes or len(data)
         if (
             self._is_started
             and not self._in_body
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -144,6 +144,16 @@
                 results += parser.feed(data[start : start + size])
             self.assertEqual([b"x" * 4_096], [r.body for r in results])
 
+    def test_the_first_part_of_a_head_is_counted(self):
+        for size in (1, 100, 1_500):
+            parser = guard.RequestParser(limits=LIMITS)
+            data = b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"y" * 1_500
+            for start in range(0, len(data), size):
+                parser.feed(data[start : start + size])
+            most = guard.REQUEST_BYTES + 4 * len(data)
+            self.assertGreater(parser.kept_bytes, 2 * len(data))
+            self.assertLess(parser.kept_bytes, most)
+
     def test_what_a_partial_request_holds_is_counted(self):
         parser = guard.RequestParser(limits=LIMITS)
         self.assertEqual(0, parser.kept_bytes)
