--- /dev/null
+++ b/review/lib_3/__init__.py
@@ -0,0 +1,1 @@
+"""A small deployment for the cases of the third review."""
