--- a/review/lib_3/executors.py
+++ b/review/lib_3/executors.py
@@ -29,6 +29,8 @@
     def __init__(self, *, opts: argparse.Namespace, number: int) -> None:
         super().__init__(opts=opts, number=number)
         self.name = self.instance = f"i-{opts.service}-{opts.port + number}"
+        # Where it is reached, which may be a proxy.
+        self.public_port = self.port
         self._drained = asyncio.Event()
         self._acked = asyncio.Event()
         # Callers of control pick among the hosts.
@@ -51,7 +53,7 @@
         is_draining = self._model.is_draining
         value = {
             "service": self._opts.service,
-            "address": f"{self._opts.host}:{self.port}",
+            "address": f"{self._opts.host}:{self.public_port}",
             "zone": self._opts.zone,
             "version": "v1",
             "slots": 8,
@@ -106,8 +108,8 @@
     await asyncio.gather(*(executor.run() for executor in each))
 
 
-def main() -> None:
-    """Run executors from the command line."""
+def parse_arguments() -> argparse.Namespace:
+    """Return the options of the command line."""
     parser = argparse.ArgumentParser(prog="executors")
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, required=True)
@@ -118,8 +120,8 @@
     parser.add_argument("--linger-s", type=float, default=0.5)
     parser.add_argument("--control", action="append", default=[])
     parser.add_argument("--runs", required=True)
-    asyncio.run(serve(parser.parse_args()))
+    return parser.parse_args()
 
 
 if __name__ == "__main__":
-    main()
+    asyncio.run(serve(parse_arguments()))
--- a/review/lib_3/world.py
+++ b/review/lib_3/world.py
@@ -146,15 +146,17 @@
         cpu: int = 16_000,
         service: str = SERVICE,
         linger_s: float = 0.5,
+        module: str = "lib_3.executors",
     ) -> str:
         """Start stand-ins of executors; return the name of their process.
 
         :param count: number of executors
         :param cpu: their capacity in thousandths of a core
         :param linger_s: how long one that leaves goes on after its drain time
+        :param module: the program of the stand-ins
         """
         name = f"executors-{service}-{zone}"
-        command = [sys.executable, "-m", "lib_3.executors"]
+        command = [sys.executable, "-m", module]
         command += ["--host", self._executor_host]
         command += ["--port", str(self._next_executor_port)]
         command += ["--count", str(count), "--cpu", str(cpu)]
@@ -162,7 +164,7 @@
         command += ["--linger-s", str(linger_s), "--runs", str(self.runs)]
         for host in self.controls:
             command += ["--control", self.text_address(host, "control")]
-        self._next_executor_port += count
+        self._next_executor_port += 2 * count
         self._spawn(name, command, {})
         return name
 
