Let a case that goes wrong end with 2, and end by itself

A mistake in a script ended with 1, which says that a rule is broken, and a case whose change wasn't acknowledged left its clients running.

--- a/review/11/play.py
+++ b/review/11/play.py
@@ -84,7 +84,9 @@
     deployment.await_ready()
     time.sleep(3.0)
     clients = [Client(deployment, name) for name in deployment.entries]
-    threads = [threading.Thread(target=each.run) for each in clients]
+    threads = [
+        threading.Thread(target=each.run, daemon=True) for each in clients
+    ]
     for thread in threads:
         thread.start()
     began_at = time.monotonic()
@@ -102,6 +104,9 @@
         client.is_stopped = True
     for thread in threads:
         thread.join()
+    for name in deployment.entries:
+        status, _ = deployment.call(name, "ready", "GET", "/v1/readiness")
+        deployment.record.add("readiness", name, status)
     before = served(clients, began_at, fault_at)
     after = served(clients, recovered_at, time.monotonic())
     deployment.record.add("served", round(before, 3), round(after, 3))
--- a/review/14/play.py
+++ b/review/14/play.py
@@ -84,7 +84,7 @@
     if is_troubled:
         deployment.signal(name, signal.SIGUSR1)
         time.sleep(0.1)
-    caller = threading.Thread(target=submit, args=(deployment,))
+    caller = threading.Thread(target=submit, args=(deployment,), daemon=True)
     caller.start()
     time.sleep(STOP_AFTER_S)
     # Planned work: the leader is stopped, and another one follows.
--- a/review/lib_3/lateorders.py
+++ b/review/lib_3/lateorders.py
@@ -54,6 +54,8 @@
             stack.callback(answers.cancel)
             while True:
                 request = await _read_request(reader)
+                path = request.split(b" ", 2)[1].decode()
+                self._site.write("call", self._executor, path)
                 if self._site.is_armed and START_PATH in request:
                     self._site.is_armed = False
                     self._site.hold_up(self._executor, request)
--- a/review/lib_3/world.py
+++ b/review/lib_3/world.py
@@ -32,6 +32,10 @@
 START_TIMEOUT_S = 20.0
 CALL_TIMEOUT_S = 1.5
 PORTS = ("control", "front", "ready", "peer", "metrics", "executors")
+# Those of all executors and proxies, from the last port on.
+EXECUTOR_PORTS = 60
+# A case that isn't over by then can't run.
+MOST_S = 115
 
 
 class CannotRunError(Exception):
@@ -72,6 +76,8 @@
     """
 
     def __init__(self, folder: pathlib.Path) -> None:
+        if not (ROOT / "target" / "deps").is_dir():
+            raise CannotRunError("the build of the deploy file is missing")
         self.controls = [f"control-{zone}" for zone in ZONES]
         self.entries = [f"entry-{zone}" for zone in ZONES]
         self.record = Record(folder / "record.txt")
@@ -90,8 +96,6 @@
             role: table["roles"][role]["run"].split()
             for role in ("control", "entry")
         }
-        if not (ROOT / "target" / "deps").is_dir():
-            raise CannotRunError("the build of the deploy file is missing")
         self.ports = self._free_ports()
         self._next_executor_port = self.ports["executors"]
 
@@ -101,6 +105,7 @@
 
     def __exit__(self, *_: object) -> None:
         """End all processes and write the record."""
+        signal.alarm(0)
         for process in self._processes.values():
             process.send_signal(signal.SIGCONT)
             process.kill()
@@ -111,15 +116,17 @@
 
     def _free_ports(self) -> dict[str, int]:
         """Return ports that are free on all addresses."""
-        addresses = [*self._hosts.values(), self._executor_host]
+        addresses = list(self._hosts.values())
         for _ in range(100):
             first = random.randrange(20_000, 30_000)
             ports = {name: first + 20 * n for n, name in enumerate(PORTS)}
             try:
                 for address in addresses:
                     for port in ports.values():
-                        with socket.socket() as probe:
-                            probe.bind((address, port))
+                        _check_free(address, port)
+                for number in range(EXECUTOR_PORTS):
+                    port = ports["executors"] + number
+                    _check_free(self._executor_host, port)
             except OSError:
                 continue
             return ports
@@ -165,7 +172,8 @@
         for host in self.controls:
             command += ["--control", self.text_address(host, "control")]
         self._next_executor_port += 2 * count
-        self._spawn(name, command, {})
+        path = os.pathsep.join([str(ROOT / "review"), str(ROOT)])
+        self._spawn(name, command, {"PYTHONPATH": path})
         return name
 
     def start(self, name: str, *, is_founding: bool = False) -> None:
@@ -176,7 +184,10 @@
         self._spawn(
             name,
             [sys.executable, *self._commands[role][1:]],
-            {"CHERVILWHEEL_NODE_FILE": str(path)},
+            {
+                "CHERVILWHEEL_NODE_FILE": str(path),
+                "PYTHONPATH": str(ROOT / "target" / "deps"),
+            },
         )
         self.record.add("process started", name)
 
@@ -220,13 +231,11 @@
         return self.folder / f"data-{name}"
 
     def _spawn(self, name: str, command: list[str], env: dict) -> None:
-        folders = (ROOT / "target" / "deps", ROOT / "review", ROOT)
-        path = os.pathsep.join(map(str, folders))
         with open(self.folder / f"{name}.log", "ab") as log:
             self._processes[name] = subprocess.Popen(
                 command,
                 cwd=ROOT,
-                env=os.environ | {"PYTHONPATH": path} | env,
+                env=os.environ | env,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -402,14 +411,29 @@
     return f"{random.getrandbits(64):016x}"
 
 
+def _check_free(address: str, port: int) -> None:
+    with socket.socket() as probe:
+        probe.bind((address, port))
+
+
+def _give_up(number: int, _frame: typing.Any) -> typing.NoReturn:
+    raise CannotRunError(f"ended by {signal.Signals(number).name}")
+
+
 def main(folder: pathlib.Path, play: typing.Callable[[World], int]) -> int:
     """Play a case; return its exit code, 2 if it couldn't run."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, _give_up)
+    signal.alarm(MOST_S)
     try:
         with World(folder) as deployment:
             code = play(deployment)
-            if deployment.ended():
-                print(f"ended by themselves: {deployment.ended()}")
+            ended = deployment.ended()
+            print(f"ended by themselves: {ended}" if ended else "none ended")
+            if any(name.startswith("executors") for name in ended):
+                raise CannotRunError("a stand-in has ended")
             return code
-    except (CannotRunError, OSError) as exc:
+    except Exception as exc:
+        # Whatever goes wrong in the case itself says nothing of the product.
         print(f"the case can't run: {exc!r}", file=sys.stderr)
         return 2
