Carry every accepted number to the next host

Cause: a job can't be encoded if its queue's maxAttempts is 2^32 or more, its priority 2^31 or more, or the antiAffinity of a step 2^32 or more. Documents and jobs allow up to 2^53 - 1.

Change: an integer field x may have a second one, xWide, of 64 bits, used for what x can't hold.

--- a/chervilwheel/codec.py
+++ b/chervilwheel/codec.py
@@ -1,11 +1,11 @@
 """Encode and decode typed messages with Cap'n Proto.
 
 A message class is a ``NamedTuple``. The schema must have a struct with the
-same name and the same fields in camel case.
+same name and the same fields in camel case. An integer field ``x`` whose type
+has turned out too small has a second one, ``xWide``.
 """
 
 import enum
-import functools
 import operator
 import pathlib
 import typing
@@ -30,6 +30,9 @@
     ValueError,
 )
 FIRST_SEGMENT_WORDS = 64
+WIDE_SUFFIX = "Wide"
+# Largest values of the types that a wide field may complete.
+_LARGEST = {"int32": 2**31 - 1, "uint32": 2**32 - 1}
 
 
 class _Field(typing.NamedTuple):
@@ -111,29 +114,40 @@
     # Setting the fields one by one takes a tenth of the time of passing
     # the whole message to pycapnp as a mapping. Empty values are skipped
     # because they equal the defaults of the schema.
-    for field, value in zip(_fields(kind), message, strict=True):
+    fields = _FIELDS.get(kind) or _make_fields(kind, builder.schema)
+    for field, value in zip(fields, message, strict=True):
         if value:
             field.write(builder, value)
 
 
 def _read(kind: type, reader: typing.Any) -> typing.Any:
-    return kind(*[field.read(reader) for field in _fields(kind)])
+    fields = _FIELDS.get(kind) or _make_fields(kind, reader.schema)
+    return kind(*[field.read(reader) for field in fields])
 
 
-@functools.cache
-def _fields(kind: type) -> tuple[_Field, ...]:
+_FIELDS: dict[type, tuple[_Field, ...]] = {}
+
+
+def _make_fields(kind: type, schema: typing.Any) -> tuple[_Field, ...]:
+    """Return the fields of a message class, and keep them for later calls.
+
+    :param schema: that of the struct of the same name
+    """
     hints = typing.get_type_hints(kind)
-    return tuple(
-        _Field(
-            _to_camel_case(name),
-            *_make_accessors(_to_camel_case(name), hints[name]),
-        )
-        for name in kind._fields
+    names = [(_to_camel_case(name), hints[name]) for name in kind._fields]
+    _FIELDS[kind] = tuple(
+        _Field(name, *_make_accessors(name, hint, schema))
+        for name, hint in names
     )
+    return _FIELDS[kind]
 
 
-def _make_accessors(name: str, hint: typing.Any) -> tuple[Write, Read]:
+def _make_accessors(
+    name: str, hint: typing.Any, schema: typing.Any
+) -> tuple[Write, Read]:
     hint = getattr(hint, "__supertype__", hint)
+    if name + WIDE_SUFFIX in schema.fieldnames:
+        return _make_wide_accessors(name, schema)
     if typing.get_origin(hint) is tuple:
         return _make_list_accessors(name, typing.get_args(hint)[0])
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
@@ -152,6 +166,26 @@
     )
 
 
+def _make_wide_accessors(name: str, schema: typing.Any) -> tuple[Write, Read]:
+    """Access an integer by two fields.
+
+    The first one, which hosts of a former version read, has its largest value
+    if the wide one is used.
+    """
+    wide_name = name + WIDE_SUFFIX
+    limit = _LARGEST[str(schema.fields[name].proto.slot.type.which())]
+
+    def write(builder: typing.Any, value: typing.Any) -> None:
+        setattr(builder, name, min(value, limit))
+        if value > limit:
+            setattr(builder, wide_name, value)
+
+    def read(reader: typing.Any) -> typing.Any:
+        return getattr(reader, wide_name) or getattr(reader, name)
+
+    return write, read
+
+
 def _make_list_accessors(name: str, item: typing.Any) -> tuple[Write, Read]:
     item = getattr(item, "__supertype__", item)
     if not hasattr(item, "_fields"):
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -32,6 +32,8 @@
 # After this time without a leader a job isn't handed on: it may have been
 # cancelled there, and the cancel be forgotten soon.
 CARRY_S = 0.75 * canceltable.RETENTION_S
+# Longest time that an offer can state.
+MAX_ELAPSED_MS = 2**32 - 1
 # Cancels without an acknowledgement, for the next holder.
 MAX_UNSETTLED = 10_000
 
@@ -493,8 +495,8 @@
         job = state.job._replace(
             offers=state.offers,
             is_from_standby=state.had_standby,
-            waited_ms=int((now - state.submitted_at) * 1000),
-            former_silent_ms=int((now - state.heard_at) * 1000),
+            waited_ms=_elapsed_ms(state.submitted_at, now),
+            former_silent_ms=_elapsed_ms(state.heard_at, now),
             former_standbys=tuple(
                 host
                 for host, lost_at in state.standbys.items()
@@ -572,3 +574,8 @@
             "holder": state.offered_to.host if state.offered_to else "",
             "document": self._version(),
         }
+
+
+def _elapsed_ms(since: float, now: float) -> int:
+    """Return the time between two times in seconds, milliseconds."""
+    return min(int((now - since) * 1000), MAX_ELAPSED_MS)
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -1,6 +1,7 @@
 @0xd3a1f0c2b4e59687;
 # Messages between instances. Field names match the typed messages of
-# chervilwheel/messages.py.
+# chervilwheel/messages.py. A field xWide has the value of x if that is too
+# large for x, which then has its largest value (chervilwheel/codec.py).
 
 struct Member { name @0 :Text; disk @1 :Text; }
 
@@ -304,6 +305,8 @@
   coldPerS @16 :Float64;
   formerSilentMs @17 :UInt32;
   formerStandbys @18 :List(Text);
+  priorityWide @19 :UInt64;
+  attemptsWide @20 :UInt64;
 }
 
 struct ExecutorReport {
