Offer the jobs behind one that can't be sent

Cause: EntryJobs added a job and counted it as offered before the offer failed, and set_holder() offers all open jobs in one round, which ended at that job for each new holder. A handler that fails likewise held up the messages behind its own until the peer sent more.

Change: a job that can't be encoded is answered at once, 503 with Retry-After, or 502 if a standby has had it. Frames behind a failed handler are handled in the next turn; the error goes on to the loop as before.

--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -124,6 +124,7 @@
         self.jobs = entryjobs.EntryJobs(
             node=node,
             send=self._relays.send,
+            can_send=node.links.can_send,
             holder_role=self._holder_role,
             version=lambda: self.document_version,
         )
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -24,6 +24,8 @@
 # over within less.
 NEVER_OFFERED_TIMEOUT_S = 0.1
 RETRY_AFTER_MS = 1_000
+# A job that can't be sent to a holder can't be later either.
+UNSENDABLE_RETRY_MS = 60_000
 # A job whose callers have left is remembered until its runs under a holder
 # that may be lost have ended.
 LEFT_RETENTION_S = 2.0
@@ -132,6 +134,7 @@
 
     :param node: event loop, timers and links
     :param send: sends a message to the holder
+    :param can_send: whether a message can be encoded
     :param holder_role: receives the jobs while this host is the holder
     :param version: returns the version of the applied document
     :ivar holder: the current holder, None while there is none
@@ -151,6 +154,7 @@
         *,
         node: runtime.Runtime,
         send: typing.Callable[[ids.InstanceId, typing.Any], None],
+        can_send: typing.Callable[[typing.Any], bool],
         holder_role: holding.HolderRole,
         version: typing.Callable[[], int],
     ) -> None:
@@ -160,6 +164,7 @@
         self._me = node.cfg.id
         self._heap = node.heap
         self._send = send
+        self._can_send = can_send
         self._holder_role = holder_role
         self._version = version
         self.holder_lost_at = self._heap.clock.now()
@@ -507,7 +512,21 @@
             self._holder_role.offer(job)
         else:
             offer = messages.JobOffer(job, self.status_stamp)
-            self._send(self.holder.host, offer)
+            if self._can_send(offer):
+                self._send(self.holder.host, offer)
+            else:
+                self._end_unsendable(state)
+
+    def _end_unsendable(self, state: _JobState) -> None:
+        """Answer a job that only this host could run, as a standby."""
+        self._end(
+            work.Answer(
+                state.job.id,
+                work.Outcome.REFUSED,
+                UNSENDABLE_RETRY_MS,
+                "unsendable",
+            )
+        )
 
     def _end(self, answer: work.Answer) -> None:
         state = self._jobs.pop(answer.job, None)
--- a/chervilwheel/lossreport.py
+++ b/chervilwheel/lossreport.py
@@ -27,6 +27,7 @@
     FREE = "refused: executors were free"
     CLOSED_ZONE = "refused: a zone was closed"
     NEVER_FITS = "refused: fits no executor"
+    UNSENDABLE = "refused: can't be sent to the holder"
     HOLDER_LOST = "lost: no next holder in time"
     TOO_LATE = "lost: too late after a change of the holder"
     CRASHED = "lost: executors crashed under a task"
@@ -198,6 +199,7 @@
         return {
             "no_holder": Cause.NO_HOLDER,
             "never_fits": Cause.NEVER_FITS,
+            "unsendable": Cause.UNSENDABLE,
         }.get(str(reason), Cause.NO_ROOM)
     if outcome == "lost":
         return {
--- a/chervilwheel/peers.py
+++ b/chervilwheel/peers.py
@@ -134,6 +134,9 @@
             return
         self.last_received_at = self._owner.heap.clock.now()
         self._buffer += data
+        self._handle_frames()
+
+    def _handle_frames(self) -> None:
         try:
             for message in self._decode_frames():
                 self._handle_message(message)
@@ -143,6 +146,10 @@
                 extra={"peer": self.peer, "error": exc.detail},
             )
             self._owner.drop_link(self)
+        except Exception:
+            # The messages behind it don't wait until more data arrives.
+            self._owner.heap.call_later(0.0, self._handle_frames)
+            raise
 
     def _decode_frames(self) -> typing.Iterator[typing.Any]:
         limit = (
@@ -382,6 +389,14 @@
             last = self._last_encoded = (message, data)
         return last[1]
 
+    def can_send(self, message: typing.Any) -> bool:
+        """Whether a message can be encoded."""
+        try:
+            self.encode(message)
+        except errors.EncodingError:
+            return False
+        return True
+
     def encode_for(
         self, peer: ids.InstanceId, message: typing.Any
     ) -> bytes | None:
--- a/tests/test_unsendable.py
+++ b/tests/test_unsendable.py
@@ -5,6 +5,7 @@
 from chervilwheel import ids
 from chervilwheel import messages
 from chervilwheel import peers
+from chervilwheel.control import entryjobs
 from chervilwheel.control import relay
 from chervilwheel.workers import work
 from tests import test_hosts
@@ -15,8 +16,8 @@
 NEWS = messages.JobStatus(1, work.JobStage.UNKNOWN)
 
 
-class UnsendableReplyTest(test_hosts.HostsTest):
-    """A fault of this host was taken for one of the peer."""
+class MessageTest(test_hosts.HostsTest):
+    """Base class of tests of the links of an entry host."""
 
     def setUp(self):
         super().setUp()
@@ -40,6 +41,10 @@
             link.send(message)
         self.net.run(0.1)
 
+
+class UnsendableReplyTest(MessageTest):
+    """A fault of this host was taken for one of the peer."""
+
     def test_the_link_stays_if_a_reply_can_not_be_sent(self):
         def reply(link, _news):
             link.send(UNSENDABLE)
@@ -112,3 +117,84 @@
         stream.other.send(b"\x04\x00\x00\x00abcd")
         self.net.run(0.1)
         self.assertEqual([self.leader], self.lost)
+
+
+class FailingHandlerTest(MessageTest):
+    """What follows a message that fails is handled at once."""
+
+    def test_messages_behind_one_whose_handler_fails_are_handled(self):
+        handled = []
+
+        def fail_once(_link, news):
+            handled.append(news.number)
+            if news.number == 1:
+                raise RuntimeError
+
+        self.links.handle(messages.JobStatus, fail_once)
+        frames = b""
+        for number in (1, 2, 3):
+            data = messages.CODEC.encode(NEWS._replace(number=number))
+            frames += peers._LENGTH.pack(len(data)) + data
+        # Between two heartbeats, which are more data.
+        self.net.run(0.04)
+        self.links._outgoing[self.leader].link._stream.other.send(frames)
+        self.assertRaises(RuntimeError, self.net.run, 0.002)
+        self.net.errors.clear()
+        self.net.run(0.002)
+        self.assertEqual([1, 2, 3], handled)
+        self.assertEqual([], self.lost)
+
+
+class UnsendableJobTest(test_hosts.HostsTest):
+    """One job that can't be sent kept all others from the next holder."""
+
+    def setUp(self):
+        super().setUp()
+        self.net = self.world(entries=1, make_port=test_hosts.AnsweringPort)
+        self.report_executors(self.net, by_zone=4)
+        ((_, self.entry),) = self.net.entries.items()
+        self.answers = {}
+
+    def submit(self, number, **fields):
+        job = test_hosts.job()._replace(
+            id=ids.JobId(f"{number:016x}"), **fields
+        )
+        self.entry.jobs.submit(
+            job, lambda answer: self.answers.setdefault(number, answer)
+        )
+
+    def held(self):
+        role = self.net.controls[self.net.holder()].holder_role
+        return {int(job, 16) for job in role._runner.engine.jobs}
+
+    def test_it_is_refused_at_once_and_says_when_to_come_back(self):
+        self.submit(1, target_ms=-1)
+        answer = self.answers[1]
+        self.assertIs(work.Outcome.REFUSED, answer.outcome)
+        self.assertEqual(entryjobs.UNSENDABLE_RETRY_MS, answer.retry_after_ms)
+        self.assertEqual("unsendable", answer.reason)
+        self.assertEqual(0, len(self.entry.jobs))
+
+    def test_jobs_behind_it_reach_the_next_holder(self):
+        former = self.net.holder()
+        self.submit(1)
+        self.submit(2)
+        # It has had no offer yet, as if it had come without a holder.
+        self.entry.jobs._add(
+            test_hosts.job()._replace(id=ids.JobId(f"{3:016x}"), target_ms=-1)
+        )
+        self.submit(4)
+        self.net.run(0.1)
+        self.net.stop(former)
+        self.net.run(4.0)
+        self.assertNotEqual(former, self.net.holder())
+        self.assertEqual({1, 2, 4}, self.held())
+        self.assertEqual(3, len(self.entry.jobs))
+
+    def test_one_that_a_standby_ran_before_is_lost_not_refused(self):
+        self.submit(1)
+        (state,) = self.entry.jobs._jobs.values()
+        state.job = state.job._replace(target_ms=-1)
+        self.net.stop(self.net.holder())
+        self.net.run(4.0)
+        self.assertIs(work.Outcome.LOST, self.answers[1].outcome)
