Reject numbers beyond the largest double

Callers would see: a document whose stretch is an integer of 310 digits is answered 500 for ever, since the operator resends on a 5xx.

Cause: math.isfinite() and float() raise OverflowError for such an integer, which no door expects.

Change: the range is checked before the conversion, in documents and settings.

A job and a document with the largest number in every field are served beside others.

--- a/chervilwheel/_checked.py
+++ b/chervilwheel/_checked.py
@@ -3,6 +3,7 @@
 import dataclasses
 import difflib
 import re
+import sys
 import types
 import typing
 
@@ -169,7 +170,8 @@
 ) -> typing.Any:
     hint = getattr(hint, "__supertype__", hint)
     if hint is float and type(value) is int:
-        value = float(value)
+        # An integer beyond the largest double stays one, and is rejected.
+        value = float(value) if abs(value) <= sys.float_info.max else value
     if type(value) is not hint:
         expected = _TYPE_NAMES.get(hint, str(hint))
         raise _error(source, path, f"{value!r} is not {expected}")
--- a/tests/test_largenumbers.py
+++ b/tests/test_largenumbers.py
@@ -4,6 +4,9 @@
 
 import testtools
 
+from chervilwheel import _checked
+from chervilwheel import config
+from chervilwheel import errors
 from chervilwheel import ids
 from chervilwheel import messages
 from chervilwheel.control import documents
@@ -131,6 +134,25 @@
         self.assertEqual(2**32 - 1, send(offered[0]).job.former_silent_ms)
 
 
+class HugeNumberTest(testtools.TestCase):
+    """A number beyond the largest double was answered 500, for good."""
+
+    def test_a_document_with_one_is_invalid(self):
+        for value in (10**309, -(10**309)):
+            self.assertRaises(errors.InvalidSettings, queue, stretch=value)
+        self.assertEqual(1e308, queue(stretch=10**308).stretch)
+
+    def test_a_setting_with_one_is_invalid(self):
+        for value in (10**309, -(10**309)):
+            self.assertRaises(
+                errors.InvalidSettings,
+                _checked.build,
+                config.Limits,
+                {"request_timeout_s": value},
+                source="test",
+            )
+
+
 class FormerVersionTest(testtools.TestCase):
     """Hosts of the former version read and write the narrow fields only."""
 
@@ -183,6 +205,33 @@
         self.assertEqual(large.attempts, held[large.id].job.attempts)
         self.assertEqual(large.priority, held[large.id].job.priority)
 
+    def test_a_job_of_all_large_numbers_does_not_disturb_others(self):
+        world = self.world(entries=1, make_port=test_hosts.AnsweringPort)
+        self.report_executors(world, by_zone=2)
+        (entry,) = world.entries.values()
+        largest = wirejson.MAX_INT
+        route = {field: largest for field in ROUTE_FIELDS} | {"stretch": 1e308}
+        step = {field: largest for field in STEP_FIELDS}
+        jobs = [
+            decode_job(queue(**route), **step),
+            decode_job(
+                queue(**route), **(step | {"cpu": 1, "memMb": 1, "gpu": 0})
+            ),
+        ]
+        for number, large in enumerate(jobs):
+            job_id = ids.JobId(f"{number:016x}")
+            entry.jobs.submit(
+                large._replace(id=job_id, service=ids.ServiceId("service")),
+                lambda _answer: None,
+            )
+        ordinary = test_hosts.job()._replace(id=ids.JobId("f" * 16))
+        entry.jobs.submit(ordinary, lambda _answer: None)
+        world.run(0.2)
+        world.stop(world.holder())
+        world.run(4.0)
+        held = self.held_jobs(world, world.holder())
+        self.assertTrue(held[ordinary.id].is_started)
+
     def held_jobs(self, world, host):
         role = world.controls[host].holder_role
         return role._runner.engine.jobs
