Hand the starts that may be late to the next holder

A start of a former leader had been held up and reached the next incarnation of its executor beside the task's run elsewhere.

Cause: workers/latestarts.py keeps a task back while an executor may still carry out a start of it, but knows the orders of its own holder only.

Change: a holder reports each start to the entry hosts of its job before it sends the order, and again once it is settled. They name what is open in each offer, for 15 s, and the next holder treats it like a start of its own that was given up. Only executors that tell when they were started are reported on, and only to hosts that take the message.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -621,6 +621,7 @@
             zone=message.zone,
             status_stamp=message.status_stamp,
             has_ended=message.has_ended,
+            keeps_starts=message.keeps_starts,
         )
         self._update_zones(
             message.zones_revision, message.evacuated, link.peer
--- a/chervilwheel/control/enginerunner.py
+++ b/chervilwheel/control/enginerunner.py
@@ -144,7 +144,7 @@
             self._raise_leader_token()
 
     def _execute(self, action: work.Action) -> None:
-        if isinstance(action, work.Answer | work.LossReport):
+        if isinstance(action, work.Notice):
             self._notify_entries(action)
         elif isinstance(action, work.StartOrder):
             self._start(action)
--- a/chervilwheel/control/entryhost.py
+++ b/chervilwheel/control/entryhost.py
@@ -154,6 +154,7 @@
         links.handle(messages.DocumentPush, self._on_document)
         links.handle(messages.JobAnswer, self._on_answer)
         links.handle(messages.JobLosses, self._on_losses)
+        links.handle(messages.JobStarts, self._on_starts)
         links.handle(messages.JobCancelled, self._on_cancelled)
         links.handle(messages.JobStatus, self._on_job_status)
         links.handle(messages.CancelNews, self._on_cancel_news)
@@ -338,6 +339,7 @@
             cancels_known_ms=self._cancels.known_ms,
             status_stamp=self.jobs.status_stamp,
             has_ended=self.jobs.has_ended,
+            keeps_starts=True,
         )
 
     def _on_zones_changed(self) -> None:
@@ -429,6 +431,7 @@
             zone=heartbeat.zone,
             status_stamp=heartbeat.status_stamp,
             has_ended=heartbeat.has_ended,
+            keeps_starts=heartbeat.keeps_starts,
         )
         self._holder_role.record_token(heartbeat.token)
         if heartbeat.zone in self._shared_zones():
@@ -669,6 +672,11 @@
     ) -> None:
         self.jobs.handle_notice(work.LossReport(*message), link.peer)
 
+    def _on_starts(
+        self, link: peers.MessageLink, message: messages.JobStarts
+    ) -> None:
+        self.jobs.handle_notice(work.StartReport(*message), link.peer)
+
     def _on_cancelled(
         self, _link: peers.MessageLink, message: messages.JobCancelled
     ) -> None:
--- a/chervilwheel/control/entryjobs.py
+++ b/chervilwheel/control/entryjobs.py
@@ -11,9 +11,11 @@
 from chervilwheel import messages
 from chervilwheel.control import canceltable
 from chervilwheel.control import holding
+from chervilwheel.control import openstarts
 from chervilwheel.control import runtime
 from chervilwheel.control import usedexecutors
 from chervilwheel.workers import engine
+from chervilwheel.workers import jobstate
 from chervilwheel.workers import work
 
 _LOG = logging.getLogger("entry")
@@ -176,6 +178,7 @@
         self.is_holder_queryable = False
         self._leader_seen_at = self.holder_lost_at
         self._holder_seen_at = self.holder_lost_at
+        self._open_starts = openstarts.OpenStarts()
         self._pending_cancels: dict[int, _Cancel] = {}
         self._unsettled: dict[ids.JobId, _Unsettled] = {}
         self._queries: dict[int, QueryCallback] = {}
@@ -396,8 +399,11 @@
         """Process an answer, or a report for the next holder of the job.
 
         A notice of a former holder, or for a submission whose callers have
-        left, is ignored unless the job is completed.
+        left, is ignored unless the job is completed or it is about starts.
         """
+        if isinstance(notice, work.StartReport):
+            self._record_starts(notice, sender)
+            return
         state = self._jobs.get(notice.job)
         if state is None:
             return
@@ -411,6 +417,22 @@
         ):
             self._end(notice)
 
+    def _record_starts(
+        self, report: work.StartReport, sender: ids.InstanceId
+    ) -> None:
+        """Keep a job's open starts, and pass on those of a former holder."""
+        self._open_starts.record(report, self._heap.clock.now())
+        state = self._jobs.get(report.job)
+        is_late = (
+            bool(report.opened)
+            and state is not None
+            and state.is_offer_current
+            and state.offered_to is not None
+            and state.offered_to.host != sender
+        )
+        if is_late:
+            self._offer(state)
+
     def expire(self, now: float) -> None:
         """Answer the jobs that have waited too long for a holder."""
         if self.holder is not None:
@@ -507,6 +529,7 @@
                 for host, lost_at in state.standbys.items()
                 if now - lost_at < usedexecutors.KEEP_S
             ),
+            starts=self._open_starts.of_job(state.job.id, now),
         )
         if self.holder.host == self._me:
             self._holder_role.offer(job)
@@ -538,6 +561,8 @@
         if answer.reason == engine.LOSSES:
             # A holder of the former version calls such a job failed.
             answer = answer._replace(outcome=work.Outcome.LOST)
+        if answer.outcome in jobstate.FINAL_OUTCOMES:
+            self._open_starts.forget(answer.job)
         waited_s = self._heap.clock.now() - state.submitted_at
         self._outcomes[answer.outcome.value] += 1
         self._latency.record(waited_s * 1000)
--- a/chervilwheel/control/holding.py
+++ b/chervilwheel/control/holding.py
@@ -59,12 +59,14 @@
     :ivar zone: its zone, empty until a message names it
     :ivar status_sent_at: when the latest status was sent here that it is known
         to have received, 0 if unknown, seconds
+    :ivar keeps_starts: whether it takes reports of open starts
     """
 
     link: peers.MessageLink
     last_seen_at: float
     zone: ids.ZoneId
     status_sent_at: float = 0.0
+    keeps_starts: bool = False
 
     def is_deaf(
         self, now: float, *, timeout_s: float = STATUS_TIMEOUT_S
@@ -424,6 +426,7 @@
         status_stamp: float = 0.0,
         is_offer: bool = False,
         has_ended: bool = False,
+        keeps_starts: bool = False,
     ) -> None:
         """Record that an entry host is alive.
 
@@ -434,6 +437,7 @@
         :param is_offer: whether the message is an offer, which others may
             follow
         :param has_ended: whether it ends and has answered all its callers
+        :param keeps_starts: whether it is known to keep open starts
         """
         now = self._heap.clock.now()
         status_sent_at = 0.0
@@ -441,11 +445,15 @@
             known = self.entries[link.peer]
             zone = zone or known.zone
             status_sent_at = known.status_sent_at
+            if known.link is link:
+                keeps_starts |= known.keeps_starts
         if followed_holder == self._me:
             # That of a former life may be ahead of the present time.
             is_valid = 0.0 < status_stamp <= now
             status_sent_at = status_stamp if is_valid else 0.0
-        self.entries[link.peer] = EntryLink(link, now, zone, status_sent_at)
+        self.entries[link.peer] = EntryLink(
+            link, now, zone, status_sent_at, keeps_starts
+        )
         # One that was long under way is of an earlier time as the holder.
         is_current = not status_stamp or status_stamp >= self._begun_at
         follows = followed_holder == self._me and not is_offer
@@ -509,6 +517,7 @@
             "refusals_closed_zone_total": job_engine.closed_zone_refusals,
             "closed_executors": job_engine.count_closed(),
             "withheld_jobs_total": job_engine.withheld,
+            "inherited_starts_total": job_engine.inherited_starts,
             "cold_executors": job_engine.count_cold(self._heap.clock.now()),
             "speed_slow": job_engine.speeds.slow,
             "speed_fast": job_engine.speeds.fast,
@@ -698,5 +707,9 @@
             return
         if isinstance(notice, work.LossReport):
             entry_link.link.send(messages.JobLosses(*notice))
+        elif isinstance(notice, work.StartReport):
+            # A host of a former version would close the link.
+            if entry_link.keeps_starts:
+                entry_link.link.send(messages.JobStarts(*notice))
         else:
             entry_link.link.send(messages.JobAnswer(*notice))
--- a/chervilwheel/messages.py
+++ b/chervilwheel/messages.py
@@ -333,6 +333,14 @@
     losses: tuple[work.TaskLoss, ...]
 
 
+class JobStarts(typing.NamedTuple):
+    """Changes of a job's open starts, as :class:`work.StartReport`."""
+
+    job: ids.JobId
+    opened: tuple[work.OpenStart, ...]
+    settled: tuple[work.OpenStart, ...]
+
+
 class JobCancel(typing.NamedTuple):
     """Request from an entry host to the holder to cancel a job.
 
@@ -473,6 +481,7 @@
         unknown
     :ivar has_ended: whether it has answered all requests and ends, so that it
         hands its jobs to no other holder
+    :ivar keeps_starts: whether it takes :class:`JobStarts`
     """
 
     entry: ids.InstanceId
@@ -492,6 +501,7 @@
     cancels_known_ms: int = 0
     status_stamp: float = 0.0
     has_ended: bool = False
+    keeps_starts: bool = False
 
 
 class EntryPeer(typing.NamedTuple):
@@ -627,5 +637,6 @@
         JobStatus,
         UsedExecutors,
         ReportAnswer,
+        JobStarts,
     ],
 )
--- a/chervilwheel/schema/peer.capnp
+++ b/chervilwheel/schema/peer.capnp
@@ -285,6 +285,14 @@
   isBegun @8 :Bool;
 }
 
+struct OpenStart {
+  step @0 :UInt32;
+  index @1 :UInt32;
+  executor @2 :Text;
+  run @3 :UInt64;
+  ageMs @4 :UInt64;
+}
+
 struct Job {
   id @0 :Text;
   queue @1 :Text;
@@ -307,6 +315,7 @@
   formerStandbys @18 :List(Text);
   priorityWide @19 :UInt64;
   attemptsWide @20 :UInt64;
+  starts @21 :List(OpenStart);
 }
 
 struct ExecutorReport {
@@ -337,6 +346,12 @@
 
 struct JobLosses { job @0 :Text; losses @1 :List(TaskLoss); }
 
+struct JobStarts {
+  job @0 :Text;
+  opened @1 :List(OpenStart);
+  settled @2 :List(OpenStart);
+}
+
 struct JobCancel {
   number @0 :UInt64;
   job @1 :Text;
@@ -393,6 +408,7 @@
   cancelsKnownMs @14 :UInt64;
   statusStamp @15 :Float64;
   hasEnded @16 :Bool;
+  keepsStarts @17 :Bool;
 }
 
 struct EntryPeer { host @0 :Text; zone @1 :Text; }
@@ -477,5 +493,6 @@
     jobStatus @36 :JobStatus;
     usedExecutors @37 :UsedExecutors;
     reportAnswer @38 :ReportAnswer;
+    jobStarts @39 :JobStarts;
   }
 }
--- a/chervilwheel/workers/engine.py
+++ b/chervilwheel/workers/engine.py
@@ -25,6 +25,7 @@
 from chervilwheel.workers import risk
 from chervilwheel.workers import speeds
 from chervilwheel.workers import starter
+from chervilwheel.workers import startreports
 from chervilwheel.workers import takeover
 from chervilwheel.workers import waitlimit
 from chervilwheel.workers import warmup
@@ -129,6 +130,12 @@
         self._late_starts = latestarts.LateStarts(
             executors_by_id=self.executors, job_table=self._job_table
         )
+        self._start_reports = startreports.StartReports(
+            executors_by_id=self.executors,
+            job_table=self._job_table,
+            late_starts=self._late_starts,
+            actions=self._actions,
+        )
         self.speeds = speeds.SpeedTable()
         self._starter = starter.Starter(
             executors_by_id=self.executors,
@@ -139,6 +146,7 @@
             queue_risk=self._risk,
             speed_table=self.speeds,
             late_starts=self._late_starts,
+            start_reports=self._start_reports,
             actions=self._actions,
         )
         self._reconciler = reconciler.RunReconciler(
@@ -212,6 +220,11 @@
             for run in executor.runs.values()
         )
 
+    @property
+    def inherited_starts(self) -> int:
+        """Number of start orders of earlier holders that might be late."""
+        return self._late_starts.inherited
+
     @property
     def refusals(self) -> int:
         """Number of jobs refused for want of room."""
@@ -461,6 +474,7 @@
         if existing is not None:
             is_repeated = existing.is_repeated_by(job, entry)
             existing.add_offer(job, entry, now)
+            self._inherit_starts(existing, job.starts, now)
             if not existing.is_finished:
                 if existing.needs_takeover(job):
                     existing.restart_takeover(job, now)
@@ -495,6 +509,7 @@
         self._learn_cold_rate(job)
         state = self._job_table.add(job, entry, now)
         self._losses.offered(state, now)
+        self._inherit_starts(state, job.starts, now)
         if self._refuser.refuse_hopeless(state, now):
             return
         self._job_table.waiting.add(state)
@@ -507,6 +522,23 @@
             self._starter.place_new(state, now)
             self._refuser.admit(state, now)
 
+    def _inherit_starts(
+        self,
+        state: jobstate.JobState,
+        starts: typing.Sequence[work.OpenStart],
+        now: float,
+    ) -> None:
+        """Reckon with the orders that a job has had from earlier holders.
+
+        :param starts: those that its entry host knows of
+        """
+        self._late_starts.inherit(state.job.id, starts, now)
+        self._start_reports.offered(state.job.id, starts, now)
+        for name in {start.executor for start in starts}:
+            executor = self.executors.get(name)
+            if executor is not None and executor.unreachable_since:
+                self._stop_beside_late_starts(executor, now)
+
     def _after_earlier_runs(
         self,
         job: work.Job,
@@ -1007,6 +1039,7 @@
         for state in self._late_starts.overdue(now):
             self._finish(state, work.Outcome.LOST, now, reason=LOSSES)
         self._late_starts.purge(now)
+        self._start_reports.report_settled(now)
         self._job_table.purge(now)
         self._losses.purge()
 
--- a/chervilwheel/workers/jobstate.py
+++ b/chervilwheel/workers/jobstate.py
@@ -12,6 +12,8 @@
 # Run numbers reserved for each offer. More than the number of runs that one
 # holder starts for a task, since a job has at most ten attempts.
 RUN_NUMBERS_PER_OFFER = 16
+# Answers after which a job isn't started again under its id.
+FINAL_OUTCOMES = (work.Outcome.COMPLETED, work.Outcome.CANCELLED)
 # An answer later than this many objectives is worthless to its caller.
 MAX_USEFUL_OBJECTIVES = 3.0
 
@@ -258,6 +260,13 @@
         """Whether its answer is final."""
         return self.answer is not None
 
+    @property
+    def has_final_answer(self) -> bool:
+        """Whether it isn't started again under its id."""
+        return (
+            self.answer is not None and self.answer.outcome in FINAL_OUTCOMES
+        )
+
     @property
     def is_complete(self) -> bool:
         """Whether all its tasks are done."""
--- a/chervilwheel/workers/latestarts.py
+++ b/chervilwheel/workers/latestarts.py
@@ -3,6 +3,7 @@
 import logging
 import typing
 
+from chervilwheel import ids
 from chervilwheel.workers import executors
 from chervilwheel.workers import jobstate
 from chervilwheel.workers import jobtable
@@ -13,8 +14,6 @@
 # Executors carry an order out up to 12 s late.
 MAX_ORDER_DELAY_S = 15.0
 PURGE_INTERVAL_S = 1.0
-# Answers after which a job isn't started again under its id.
-_FINAL_OUTCOMES = (work.Outcome.COMPLETED, work.Outcome.CANCELLED)
 
 
 class LateStart(typing.NamedTuple):
@@ -34,6 +33,7 @@
 
     :param executors_by_id: all executors, by id
     :param job_table: all jobs of this holder
+    :ivar inherited: number of orders of earlier holders so far
     """
 
     def __init__(
@@ -49,6 +49,7 @@
         self._tasks: dict[work.ExecutorId, dict[work.TaskId, None]] = {}
         self._held_back: dict[work.TaskId, None] = {}
         self._purged_at = 0.0
+        self.inherited = 0
 
     def add(self, executor: executors.Executor, run: executors.Run) -> None:
         """Record the order of a run that is given up.
@@ -61,6 +62,36 @@
         orders[LateStart(executor.id, run.number)] = run.ordered_at
         self._tasks.setdefault(executor.id, {})[run.task] = None
 
+    def inherit(
+        self,
+        job: ids.JobId,
+        starts: typing.Iterable[work.OpenStart],
+        now: float,
+    ) -> None:
+        """Record orders of earlier holders that may still be carried out.
+
+        An executor that isn't known yet may be by then.
+        """
+        for start in starts:
+            task = work.TaskId(job, start.step, start.index)
+            ordered_at = now - start.age_ms / 1000
+            executor = self._executors.get(start.executor)
+            run = executor.runs.get(task) if executor is not None else None
+            is_listed = run is not None and run.number == start.run
+            if is_listed or now - ordered_at >= MAX_ORDER_DELAY_S:
+                continue
+            orders = self._ordered_at.setdefault(task, {})
+            orders.setdefault(LateStart(start.executor, start.run), ordered_at)
+            self._tasks.setdefault(start.executor, {})[task] = None
+            self.inherited += 1
+
+    def includes(
+        self, task: work.TaskId, executor: work.ExecutorId, run: int
+    ) -> bool:
+        """Return whether an order may still be carried out."""
+        orders = self._ordered_at.get(task, ())
+        return LateStart(executor, run) in orders
+
     def carried_out(
         self, task: work.TaskId, run: int, executor: executors.Executor
     ) -> bool:
@@ -168,8 +199,7 @@
         self._purged_at = now
         for task, orders in list(self._ordered_at.items()):
             state = self._job_table.jobs.get(task.job)
-            answer = state.answer if state is not None else None
-            is_final = answer is not None and answer.outcome in _FINAL_OUTCOMES
+            is_final = state is not None and state.has_final_answer
             for order, ordered_at in list(orders.items()):
                 if is_final or now - ordered_at >= MAX_ORDER_DELAY_S:
                     self._remove(task, order)
--- a/chervilwheel/workers/starter.py
+++ b/chervilwheel/workers/starter.py
@@ -15,6 +15,7 @@
 from chervilwheel.workers import risk
 from chervilwheel.workers import speedneeds
 from chervilwheel.workers import speeds
+from chervilwheel.workers import startreports
 from chervilwheel.workers import work
 
 # A start order is void after this time, whether or not it was answered.
@@ -42,6 +43,7 @@
     :param queue_risk: tells which queues have such tasks
     :param speed_table: speeds of the executors and run times of queues
     :param late_starts: starts that were given up
+    :param start_reports: reports the starts to the entry hosts
     :param actions: list that the orders are appended to
     """
 
@@ -56,6 +58,7 @@
         queue_risk: risk.QueueRisk,
         speed_table: speeds.SpeedTable,
         late_starts: latestarts.LateStarts,
+        start_reports: startreports.StartReports,
         actions: list[work.Action],
     ) -> None:
         self.starts = 0
@@ -65,6 +68,7 @@
         self._leases = lease_manager
         self._losses = loss_tracker
         self._late_starts = late_starts
+        self._start_reports = start_reports
         self._risk = queue_risk
         self._needs = speedneeds.SpeedNeeds(
             executors_by_id=executors_by_id, speed_table=speed_table
@@ -157,6 +161,7 @@
         if self._is_refusable(state, attempt.now):
             return
         is_risky = self._risk.is_risky(state.job.queue, attempt.now)
+        orders_from = len(self._actions)
         held_back = 0
         while len(state.pending) > held_back:
             task = state.pending[held_back]
@@ -192,6 +197,7 @@
                 continue
             state.pending.remove(task)
             self._start_alone(state, task, executor, attempt.now)
+        self._start_reports.report(state.job.id, orders_from)
         self._update_queue(state)
 
     def _sharing(self, task: jobstate.Task, now: float) -> losses.Sharing:
@@ -372,6 +378,7 @@
             is_alone=is_alone,
         )
         executor.add_run(run)
+        self._start_reports.ordered(executor, run)
         executor.record_cold_start(now)
         if is_risky:
             self._exposed.add(executor, now)
--- a/chervilwheel/workers/work.py
+++ b/chervilwheel/workers/work.py
@@ -109,6 +109,20 @@
         return self.step, self.index
 
 
+class OpenStart(typing.NamedTuple):
+    """A start order that an executor may still carry out.
+
+    :ivar run: number of the run that it starts
+    :ivar age_ms: time since it was ordered
+    """
+
+    step: int
+    index: int
+    executor: ExecutorId
+    run: int
+    age_ms: int = 0
+
+
 # Objects of a job and of one of its steps.
 JOB_BYTES = 2_048
 STEP_BYTES = 512
@@ -140,6 +154,7 @@
         that it was offered to before
     :ivar former_standbys: the hosts that had it as standbys so shortly before
         that runs of theirs may last
+    :ivar starts: orders of earlier holders that executors may still carry out
     """
 
     id: ids.JobId
@@ -161,6 +176,7 @@
     cold_per_s: float = 0.0
     former_silent_ms: int = 0
     former_standbys: tuple[ids.InstanceId, ...] = ()
+    starts: tuple[OpenStart, ...] = ()
 
     @property
     def kept_bytes(self) -> int:
@@ -426,6 +442,18 @@
     losses: tuple[TaskLoss, ...]
 
 
+class StartReport(typing.NamedTuple):
+    """Changes of a job's starts that may still be carried out.
+
+    :ivar opened: orders that follow this report, or that had no answer yet
+    :ivar settled: orders that have been carried out or never will be
+    """
+
+    job: ids.JobId
+    opened: tuple[OpenStart, ...] = ()
+    settled: tuple[OpenStart, ...] = ()
+
+
 Order = StartOrder | StopOrder | HoldOrder
-Notice = Answer | LossReport
+Notice = Answer | LossReport | StartReport
 Action = Order | Notice
--- a/tests/test_lateorders.py
+++ b/tests/test_lateorders.py
@@ -331,6 +331,92 @@
 
         self.check_once(play)
 
+    def test_a_start_of_a_leader_that_ends_as_it_sends_it(self):
+        # No time passes in which it could have found out about the answer.
+        def play(**schedule):
+            world = self.world()
+            job, order = self.submit_late(world)
+            world.switch_holder(knows_all=True)
+            self.restart(world, order, down_s=2.0, **schedule)
+            return world, job
+
+        self.check_once(play)
+
+    def test_a_start_of_the_leader_before_the_former_one(self):
+        # It was given up by its own leader or by the next one.
+        for given_up_s in (0.0, 0.6):
+
+            def play(given_up_s=given_up_s, **schedule):
+                world = self.world()
+                job, order = self.submit_late(world)
+                world.drain(order.executor)
+                world.run(given_up_s)
+                world.switch_holder(knows_all=True)
+                world.run(0.6)
+                world.switch_holder(knows_all=True)
+                world.run(0.6)
+                self.restart(world, order, **schedule)
+                return world, job
+
+            self.check_once(play)
+
+    def test_a_start_of_a_former_leader_of_a_job_that_is_sent_again(self):
+        # Its caller had no answer that stands; the entry host knows the start.
+        def play(**schedule):
+            world = self.world()
+            job, order = self.submit_late(world)
+            world.run(0.01)
+            world.cancel(job, work.Outcome.LOST)
+            world.run(0.4)
+            world.switch_holder(knows_all=True)
+            self.restart(world, order, **schedule)
+            world.run(0.1)
+            del world.answers[job]
+            world.repeat_offer(job, submission=2)
+            return world, job
+
+        self.check_once(play)
+
+    def test_a_start_of_a_former_leader_that_the_next_one_finds_running(self):
+        # It was carried out late, before the next leader's first list.
+        world = self.world()
+        job, order = self.submit_late(world)
+        world.drain(order.executor)
+        world._deliver_start(order)
+        world.switch_holder(knows_all=True)
+        world.run(8.0)
+        self.assertIs(work.Outcome.COMPLETED, world.outcome(job))
+        self.assertEqual(1, world.starts_of[order.task])
+        self.assertEqual((), world.open_starts.of_job(job, world.now))
+
+    def test_a_start_that_was_answered_holds_nothing_back_at_the_next(self):
+        # Only starts without an answer can be late.
+        world = self.world()
+        job = world.submit(
+            tasks=1,
+            work_s=TASK_S,
+            patience_ms=PATIENCE_MS,
+            target_ms=PATIENCE_MS,
+        )
+        world.run(0.1)
+        (task,) = world.starts_of
+        (name,) = (n for n, m in world.workers.items() if m.running)
+        self.assertEqual((), world.open_starts.of_job(job, world.now))
+        world.switch_holder(knows_all=True)
+        world.restart_under_id(name, down_s=60.0)
+        world.run(2.0)
+        self.assertEqual(2, world.starts_of[task])
+
+    def test_an_answered_start_is_forgotten_by_the_entry_host(self):
+        world = self.world()
+        jobs = [
+            world.submit(tasks=3, work_s=work_s, patience_ms=PATIENCE_MS)
+            for work_s in (0.02, 0.5)
+        ]
+        world.run(0.2)
+        self.assertIs(work.Outcome.COMPLETED, world.outcome(jobs[0]))
+        self.assertEqual((), world.open_starts.of_job(jobs[1], world.now))
+
     def test_a_start_of_a_standby(self):
         # The executor crashes during the cut and is back after it.
         def play(**schedule):
--- a/tests/workerworld.py
+++ b/tests/workerworld.py
@@ -13,6 +13,7 @@
 from chervilwheel import ids
 from chervilwheel.control import canceltable
 from chervilwheel.control import holding
+from chervilwheel.control import openstarts
 from chervilwheel.workers import engine
 from chervilwheel.workers import leases
 from chervilwheel.workers import takeover
@@ -175,6 +176,8 @@
         self.given_up = canceltable.CancelTable()
         self.given_up_far = canceltable.CancelTable()
         self.engine_of_entry = {}
+        # What the entry hosts know of starts without an answer.
+        self.open_starts = openstarts.OpenStarts()
         self.last_heartbeat = {}
         self._engine_kind = engine_class
         self._events = []
@@ -446,6 +449,7 @@
             offers=job.offers + 1,
             is_from_standby=job.is_from_standby or is_from_standby,
             former_silent_ms=int(former_silent_s * 1000),
+            starts=self.open_starts.of_job(job_id, self.now),
         )
         self.jobs[job_id] = job
         holder.offer(job, self.entry_of[job_id], self.now)
@@ -530,7 +534,8 @@
 
     def repeat_offer(self, job_id, **changes):
         """Offer a job again to the same holder, as if it had just arrived."""
-        job = self.jobs[job_id]._replace(waited_ms=0, **changes)
+        starts = self.open_starts.of_job(job_id, self.now)
+        job = self.jobs[job_id]._replace(waited_ms=0, starts=starts, **changes)
         self.engine.offer(job, self.entry_of[job_id], self.now)
         self._execute_actions(self.engine)
 
@@ -674,7 +679,9 @@
             if holder is current and action.job not in self.answers:
                 self.answers[action.job] = (self.now, action)
             return
-        if isinstance(action, work.LossReport):
+        if isinstance(action, work.StartReport):
+            self.open_starts.record(action, self.now)
+        elif isinstance(action, work.LossReport):
             current = self.engine_of_entry.get(
                 self.entry_of.get(action.job), self.engine
             )
@@ -682,9 +689,10 @@
                 self.jobs[action.job] = self.jobs[action.job]._replace(
                     losses=action.losses
                 )
-            return
-        if not self._is_live(holder):
-            return
+        elif self._is_live(holder):
+            self._send_order(holder, action)
+
+    def _send_order(self, holder, action):
         delivery, delay = self.net.sample_delivery(
             action.executor, holder, action
         )
