Notice the crash of a watched executor at once

Callers would see: a task runs on two executors after a restart in 0.05 s (KNOWN-RED, 10 of 18 schedules in virtual time).

Cause: an executor without runs that may carry out a start late was asked every 0.25 s and answered at once. Its crash showed with the next call.

Change: it is asked to answer after 0.25 s, so that the end of its process, which closes the connection, shows within a round trip. The number of calls stays.

Result: 0 of 18 schedules, and the test leaves KNOWN-RED. Crashes at five moments between two calls are noticed within 15 ms (a new test, red before). The same schedules with stops that take the full 50 ms break 4 of 18, 10 before: a new test, in KNOWN-RED.

--- a/chervilwheel/workers/leases.py
+++ b/chervilwheel/workers/leases.py
@@ -37,8 +37,9 @@
 # An executor without runs is asked for its clock this often. Its clock is then
 # known to 0.1 s, well below the time for which a start order is valid.
 IDLE_RENEWAL_S = 5.0
-# An executor without runs is asked this often while its crash must be noticed.
-WATCH_INTERVAL_S = 0.25
+# How long an executor without runs waits with its answer while its crash must
+# be noticed. One that loses its power is noticed at the end of that time.
+WATCH_WAIT_S = 0.25
 # An executor counts as silent after three missed heartbeats.
 REPORT_TIMEOUT_S = 5.0
 
@@ -174,7 +175,7 @@
                 self.poll(executor, now)
             return
         if needs_poll or self._is_due(executor, now, is_watched=is_watched):
-            self.renew(executor, now)
+            self.renew(executor, now, is_watched=is_watched)
 
     def _is_due(
         self, executor: executors.Executor, now: float, *, is_watched: bool
@@ -183,7 +184,7 @@
         if executor.unreachable_since or not executor.is_synced:
             is_live = bool(executor.runs) or not _is_silent(executor, now)
             return is_live and waited_s >= RENEWAL_RETRY_S
-        if executor.runs or (is_watched and waited_s >= WATCH_INTERVAL_S):
+        if executor.runs or is_watched:
             return True
         has_unsent_ack = executor.processed_upto > executor.acked_upto
         if has_unsent_ack and waited_s >= ACK_DELAY_S:
@@ -195,8 +196,18 @@
             return True
         return False
 
-    def renew(self, executor: executors.Executor, now: float) -> None:
-        """Renew a lease and read the lists, unless a renewal is in flight."""
+    def renew(
+        self,
+        executor: executors.Executor,
+        now: float,
+        *,
+        is_watched: bool = False,
+    ) -> None:
+        """Renew a lease and read the lists, unless a renewal is in flight.
+
+        :param is_watched: whether a crash must be noticed soon. It ends the
+            connection on which the executor would answer later.
+        """
         if executor.is_renewing or executor.is_retrying:
             return
         executor.is_renewing = True
@@ -212,13 +223,12 @@
         executor.lease_deadline_ms = max(
             executor.lease_deadline_ms, deadline_ms
         )
-        wait_ms = int(self._poll_s(now) * 1000)
-        if (
-            not executor.runs
-            or not executor.is_synced
-            or executor.unreachable_since
-        ):
-            wait_ms = 0
+        wait_ms = 0
+        if executor.is_synced and not executor.unreachable_since:
+            if executor.runs:
+                wait_ms = int(self._poll_s(now) * 1000)
+            elif is_watched:
+                wait_ms = int(WATCH_WAIT_S * 1000)
         grace_s = max(ANSWER_GRACE_S, self.round_trips.timeout_s)
         executor.renewal_due_at = now + wait_ms / 1000 + grace_s
         executor.overdue_poll_at = 0.0
--- a/tests/test_lateorders.py
+++ b/tests/test_lateorders.py
@@ -305,6 +305,36 @@
 
         self.check_once(play)
 
+    def test_a_start_given_up_that_arrives_at_once_where_stops_are_slow(self):
+        # The run elsewhere is stopped as soon as the crash is noticed.
+        def play(**schedule):
+            world = self.world(worker_options={"stop_s": workerworld.STOP_S})
+            job, order = self.submit_late(world)
+            world.drain(order.executor)
+            world.run(0.6)
+            self.restart(world, order, down_s=0.05, **schedule)
+            return world, job
+
+        self.check_once(play)
+
+    def test_the_crash_of_a_watched_executor_is_noticed_at_once(self):
+        # It ends the connection of the call that the executor answers late.
+        for offset_s in (0.0, 0.05, 0.1, 0.15, 0.2):
+            world = self.world()
+            _, order = self.submit_late(world)
+            world.drain(order.executor)
+            world.run(0.6 + offset_s)
+            executor = world.engine.executors[order.executor]
+            self.assertEqual({}, executor.runs)
+            renewal = executor.renewal
+            world.run(1.0)
+            self.assertThat(
+                executor.renewal - renewal, testtools.matchers.LessThan(6)
+            )
+            world.restart_under_id(order.executor, down_s=0.5)
+            world.run(0.015)
+            self.assertNotEqual(0.0, executor.unreachable_since, offset_s)
+
     def test_a_start_of_a_former_leader(self):
         # The next one doesn't know of the order.
         def play(**schedule):
