Obey a drain after the executor's service was removed

Its service had been removed by a document; a job accepted before went on there.

Cause: check_report() takes a report whose service the newest document doesn't name for that of some other client. It was acknowledged and dropped.

Change: it counts if the host knows the executor with that service, or if it drains and the host doesn't know it.

--- a/chervilwheel/control/controlhost.py
+++ b/chervilwheel/control/controlhost.py
@@ -189,15 +189,27 @@
         """Check that an executor's report fits this deployment.
 
         :raises errors.InvalidRequest: if the settings don't name its zone or
-            the document doesn't name its service
+            neither the document nor a former one names its service
         """
         if self._cfg.zones and report.zone not in self._cfg.zones:
             raise errors.InvalidRequest("zone: not in the settings")
         if report.service not in self._services:
             self._read_services()
-        if self._services and report.service not in self._services:
+        is_unknown = self._services and report.service not in self._services
+        if is_unknown and not self._may_be_removed(report):
             raise errors.InvalidRequest("service: not in the configuration")
 
+    def _may_be_removed(self, report: work.ExecutorReport) -> bool:
+        """Return whether a former document may have named a report's service.
+
+        The jobs of that document go on there. A host that has just started
+        doesn't know the executor; it may leave nevertheless.
+        """
+        _, known = self._reports.get(report.id, (0.0, None))
+        if known is None:
+            return report.is_draining
+        return known.service == report.service
+
     def _read_services(self) -> None:
         """Read the services of the document unless they are known.
 
--- a/tests/test_invalidreports.py
+++ b/tests/test_invalidreports.py
@@ -228,6 +228,61 @@
         ]
         self.assertEqual(2 * len(rows), float(line.split()[1]))
 
+    def remove_service(self):
+        """Replace the document by one with another service."""
+        document = self.control._decoder.decode(b"")
+        service = document.services[0]._replace(name=ids.ServiceId("other"))
+        decoder = Decoder(
+            document._replace(version=2, services=(service,), data=b"2")
+        )
+        for control in self.world.controls.values():
+            control._decoder = decoder
+        self.assertTrue(self.world.put_document(2))
+        self.world.run(0.5)
+        # The services are read when one of the new ones reports.
+        self.post(self.good(service="other"), name="i-9")
+
+    def test_a_drain_is_obeyed_after_its_service_was_removed(self):
+        # Jobs of the former document go on there.
+        self.post(self.good())
+        self.remove_service()
+        self.post(self.good(state="draining", sequence=5))
+        self.assertTrue(self.executors()["i-1"].is_draining)
+        self.assertEqual(0, self.api.invalid_reports)
+
+    def test_so_is_one_at_a_host_that_has_just_started(self):
+        self.post(self.good())
+        self.remove_service()
+        leader = self.world.holder()
+        other = next(h for h in self.world.controls if h != leader)
+        self.world.stop(other)
+        self.world.run(0.5)
+        self.world.restart(other)
+        self.world.run(3.0)
+        fresh = self.world.controls[other]
+        fresh._decoder = self.control._decoder
+        fresh._reports.clear()
+        api = controlapi.ControlApi(
+            control=fresh, registry=metrics.Registry(), clk=self.clock
+        )
+        body = self.good(state="draining", sequence=5)
+        exchange = Exchange("/v1/instances/i-1/heartbeat", body)
+        api.handle(exchange)
+        self.world.run(0.1)
+        self.assertEqual({"other"}, fresh._services)
+        self.assertEqual(200, exchange.response.status)
+        self.assertTrue(self.executors()["i-1"].is_draining)
+
+    def test_its_other_reports_still_count_for_the_jobs_that_it_has(self):
+        self.post(self.good())
+        self.remove_service()
+        small = {"cpu": 1000, "memMb": 32768, "gpu": 0}
+        self.post(self.good(capacity=small, sequence=5))
+        self.assertEqual(1000, self.executors()["i-1"].room.cpu)
+        # An executor that has never been of a known service isn't used.
+        self.post(self.good(), name="i-2")
+        self.assertNotIn("i-2", self.known())
+
     def test_warnings_are_bounded_and_count_those_left_out(self):
         records = Records()
         log = logging.getLogger("control")
