Answer pipelined requests before a planned stop ends their connection

Cause: once the server was closing, the first response closed the connection and dropped the requests that had been read behind it.

Change: the response is the last one only if no whole request is queued.

--- a/chervilwheel/http/connection.py
+++ b/chervilwheel/http/connection.py
@@ -100,7 +100,8 @@
         multiple of its body
     :ivar may_refuse: whether a request that there is no room for may be
         answered that it wasn't run; if not, its connection is closed
-    :ivar is_closing: whether to close connections after their response
+    :ivar is_closing: whether to close connections once the requests that were
+        read are answered
     """
 
     heap: timers.TimerHeap
@@ -202,7 +203,7 @@
         """Send the response to the current request."""
         self._exchange = None
         self._waiting_since = self._server.heap.clock.now()
-        keep = self._keep_alive and not self._server.is_closing
+        keep = self._keep_alive and not self._is_last
         self._stream.send(_encode(response, keep=keep))
         if not keep:
             self._close_when_sent()
@@ -212,6 +213,16 @@
             self._stream.resume_reading()
         self._account()
 
+    @property
+    def _is_last(self) -> bool:
+        """Whether no other request is answered on this connection.
+
+        A server that closes still answers what it has read.
+        """
+        return self._server.is_closing and not any(
+            isinstance(item, guard.Request) for item in self._queued
+        )
+
     def _account(self) -> None:
         """Report what this connection holds and waits for."""
         if self._stream.is_closed:
--- a/chervilwheel/http/server.py
+++ b/chervilwheel/http/server.py
@@ -94,7 +94,7 @@
         self._listeners = []
 
     def close_idle(self) -> None:
-        """Close idle connections; close the others after their response."""
+        """Close idle connections, and the others once they are answered."""
         self.is_closing = True
         for conn in list(self._conns):
             if not conn.is_busy:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -445,6 +445,34 @@
         self.assertIn(b"Connection: close", received)
         self.assertEqual(0, self.server.busy)
 
+    def test_closing_server_answers_the_pipelined_requests_that_it_has(self):
+        # The client may not know whether those without an answer have run.
+        self.is_response_delayed = True
+        request = b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n"
+        sock = socket.create_connection(self.address)
+        self.addCleanup(sock.close)
+        sock.sendall(request % 1 + request % 2)
+        self.tick_until(lambda: self.exchanges)
+        self.server.close_idle()
+        # While it waits for the first answer, one more arrives.
+        sock.sendall(request % 3 + b"GET /4 HTTP/1.1\r\n")
+        for _ in range(10):
+            self.app.tick(timeout=0.01)
+        for number in (1, 2, 3):
+            self.tick_until(lambda n=number: len(self.exchanges) == n)
+            self.assertEqual(1, self.server.busy)
+            body = b"answer %d" % number
+            self.exchanges[-1].respond(http_server.Response(200, body))
+            self.server.close_idle()
+        received = sock.recv(65536)
+        self.assertEqual(3, received.count(b"HTTP/1.1 200"))
+        self.assertEqual(1, received.count(b"Connection: close"))
+        self.assertLess(
+            received.index(b"answer 2"), received.index(b"Connection: close")
+        )
+        self.assertEqual(0, self.server.busy)
+        self.assertEqual(3, len(self.exchanges))
+
     def test_call_returns_the_response(self):
         data = b"POST /c HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok"
         result = self.call(data)
