Soak: don't judge a cancel by what came after the record

The trace: the cancel was acknowledged at 3133.253 and carried out by the holder (17:02:49.063); the hosts and stand-ins were ended at 17:02:49.110, 47 ms later, and the record has no row after 3133.294. The run has no recorded end, which the judge took for an end at infinity.

Change: a run that goes on counts only if the record lasts until the time by which it must have been stopped. Any run that is seen, or has no end, later than that is found as before; the new test has both.

--- a/soak/judge.py
+++ b/soak/judge.py
@@ -140,9 +140,19 @@
     ]
 
 
+def _recorded_until(
+    runs: typing.Iterable[Run], attempts: typing.Iterable[callers.Attempt]
+) -> float:
+    """Return the latest time that a run or an attempt is recorded with."""
+    times = [each.sent_at for each in attempts]
+    for run in runs:
+        times += [run.began_at, run.ended_at]
+    return max(filter(math.isfinite, times), default=0.0)
+
+
 def check_cancels(
-    runs: typing.Iterable[Run],
-    attempts: typing.Iterable[callers.Attempt],
+    runs: typing.Collection[Run],
+    attempts: typing.Collection[callers.Attempt],
     disturbances: typing.Collection[Disturbance],
 ) -> list[Finding]:
     """UNASKED: what is cancelled doesn't start, and doesn't run on.
@@ -155,6 +165,8 @@
         if each.method == callers.CANCEL and is_settled:
             at = cancelled_at.get(each.job, math.inf)
             cancelled_at[each.job] = min(at, each.ended_at)
+    # A run without an end may have been stopped as the record ended.
+    recorded_until = _recorded_until(runs, attempts)
     found = []
     for run in runs:
         at = cancelled_at.get(run.job, math.inf)
@@ -162,7 +174,7 @@
             if _may_start(disturbances, run):
                 continue
             what = f"began {run.began_at - at:.3f} s after its cancel"
-        elif run.ended_at > at + STOPPED_S and is_calm(
+        elif min(run.ended_at, recorded_until) > at + STOPPED_S and is_calm(
             disturbances, at, at + STOPPED_S
         ):
             what = f"runs {STOPPED_S} s after its cancel"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 import asyncio
 import dataclasses
 import json
+import math
 import os
 import pathlib
 import signal
@@ -322,6 +323,16 @@
         fault = judge.Disturbance("w-1", 11, 12, False)
         self.assertEqual([], judge.check_cancels(runs, cancels, [fault]))
 
+    def test_a_run_that_was_cancelled_as_the_record_ended_is_not_found(self):
+        # Seed 930007: the cancel came 47 ms before the hosts were stopped.
+        cancels = [attempt(200, method=callers.CANCEL)]
+        cancelled = run(10, math.inf)
+        at = cancels[0].ended_at
+        for seen_s, expected in ((0.04, []), (3.04, []), (3.06, ["UNASKED"])):
+            later = run(at + seen_s, math.inf, task="f" * 16 + ".0.0.0")
+            found = judge.check_cancels([cancelled, later], cancels, [])
+            self.assertEqual(expected, rules(found), seen_s)
+
     def test_a_start_on_a_draining_executor_is_found(self):
         drains = {"w-1": 10.0}
         late = [run(12.1, 13)]
